--- /dev/null
+++ b/crates/cranehill/src/cli.rs
@@ -0,0 +1,152 @@
+//! The command line.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use clap::{Parser, Subcommand};
+
+use crate::config::{self, Config};
+use crate::reactor::{Reactor, Setup};
+use crate::webpush;
+
+#[derive(Parser)]
+#[command(
+    name = "cranehill",
+    about = "Hands episode notices on to partner systems",
+    disable_version_flag = true
+)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run one sender, as the NODE_ variables say.
+    Serve {
+        /// Also speak Web Push, as this file says. Without NODE_CONFIG, that front alone.
+        #[arg(long, value_name = "FILE")]
+        webpush: Option<PathBuf>,
+    },
+    /// Print the version.
+    Version,
+    /// Read the configuration (NODE_CONFIG) and a Web Push file, and say what is wrong with them.
+    Check {
+        #[arg(long, value_name = "FILE")]
+        webpush: Option<PathBuf>,
+    },
+}
+
+/// What was asked for can't be done as it stands: one line, exit code 2.
+const BAD_INPUT: u8 = 2;
+
+pub fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+        .format_timestamp_millis()
+        .init();
+    let result = match Args::parse().command {
+        Command::Serve { webpush } => serve(webpush.as_deref()),
+        Command::Version => {
+            println!("cranehill {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        Command::Check { webpush } => check(webpush.as_deref()),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            eprintln!("cranehill: {}", why.replace('\n', " "));
+            ExitCode::from(BAD_INPUT)
+        }
+    }
+}
+
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|v| !v.is_empty())
+}
+
+fn webpush_file(path: &Path) -> Result<webpush::File, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    webpush::parse_file(&text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn setup(config: Option<Config>, push: Option<webpush::File>) -> Result<Setup, String> {
+    let Some(config) = config else {
+        let push = push.ok_or("NODE_CONFIG is not set and no --webpush is given")?;
+        if push.listen.is_none() {
+            return Err("the Web Push file names no address to listen on".into());
+        }
+        return Ok(Setup {
+            site: webpush::alone(),
+            seed: u64::from(std::process::id()),
+            state: None,
+            listen: None,
+            discovery: None,
+            known_version: 0,
+            known: Vec::new(),
+            push: Some(push),
+            sockets: 1024,
+        });
+    };
+    log::info!("{}: listening for clients at {}", config.name, config.listen);
+    Ok(Setup {
+        site: config.site,
+        seed: config.seed,
+        state: Some((config.state, (config.limits.disk_mb * 1e6) as u64)),
+        listen: Some(config.listen),
+        discovery: Some(config.discovery),
+        known_version: config.known_version,
+        known: config.known,
+        push,
+        sockets: config.limits.sockets.min(1024),
+    })
+}
+
+fn load_config() -> Result<Option<Config>, String> {
+    variable("NODE_CONFIG").map(|_| config::load(variable)).transpose()
+}
+
+fn serve(webpush: Option<&Path>) -> Result<(), String> {
+    let push = webpush.map(webpush_file).transpose()?;
+    let mut reactor = Reactor::new(setup(load_config()?, push)?)?;
+    let asked = Arc::new(AtomicBool::new(false));
+    let mut signals =
+        signal_hook_mio::v1_0::Signals::new([signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT])
+            .map_err(|e| format!("signals: {e}"))?;
+    reactor
+        .registry()
+        .register(&mut signals, mio::Token(2), mio::Interest::READABLE)
+        .map_err(|e| format!("signals: {e}"))?;
+    reactor
+        .run(|| {
+            if signals.pending().count() > 0 {
+                asked.store(true, Ordering::Relaxed);
+            }
+            asked.load(Ordering::Relaxed)
+        })
+        .map_err(|e| format!("poll: {e}"))
+}
+
+fn check(webpush: Option<&Path>) -> Result<(), String> {
+    let config = load_config()?;
+    if let Some(config) = &config {
+        let site = &config.site;
+        println!(
+            "configuration of {}: {} classes, {} stations, {} endpoints known",
+            config.name,
+            site.settings.classes.len(),
+            site.names.tenants.len(),
+            config.known.len()
+        );
+    }
+    let push = webpush.map(webpush_file).transpose()?;
+    if let Some(push) = &push {
+        println!("Web Push: {} upstreams, {} locations", push.upstream.len(), push.location.len());
+    }
+    if config.is_none() && push.is_none() {
+        return Err("nothing to check: NODE_CONFIG is not set and no --webpush is given".into());
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cranehill/src/clients.rs
@@ -0,0 +1,149 @@
+//! The stations' programs that hand notices in, over RESP2: pure parsing and writing.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::config::Site;
+use crate::core::{Answer, Notice, Origin};
+
+/// The largest body of a notice, and room for the words before it.
+const WORD_MOST: usize = 64 * 1024;
+const WORDS_MOST: usize = 16;
+/// The longest request that may be waited for.
+pub const REQUEST_MOST: usize = WORD_MOST + 4096;
+
+#[derive(Debug, PartialEq, Eq)]
+pub enum Request {
+    Ping,
+    Quit,
+    Put {
+        id: String,
+        names: String,
+        body: Vec<u8>,
+    },
+    /// Understood as RESP, but not as a command: it gets an error and the connection stays.
+    Unknown(&'static str),
+}
+
+/// What no answer can repair: the connection ends after it.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Broken(pub &'static str);
+
+/// A line up to CR LF, and where the next one begins.
+fn line(bytes: &[u8], at: usize) -> Result<Option<(&[u8], usize)>, Broken> {
+    let rest = &bytes[at..];
+    match rest.iter().position(|&b| b == b'\n') {
+        Some(end) if end > 0 && rest[end - 1] == b'\r' => Ok(Some((&rest[..end - 1], at + end + 1))),
+        Some(_) => Err(Broken("a line must end in CR LF")),
+        None if rest.len() > 32 => Err(Broken("a length line is too long")),
+        None => Ok(None),
+    }
+}
+
+fn count(line: &[u8], mark: u8, most: usize) -> Result<usize, Broken> {
+    let digits = match line.split_first() {
+        Some((&first, digits)) if first == mark => digits,
+        _ => return Err(Broken("expected an array of bulk strings")),
+    };
+    let plain = !digits.is_empty() && digits.len() <= 8 && digits.iter().all(u8::is_ascii_digit);
+    let number = std::str::from_utf8(digits).ok().filter(|_| plain).and_then(|d| d.parse().ok());
+    number.filter(|&n| n <= most).ok_or(Broken("a length is not a number in range"))
+}
+
+/// The first whole request in `bytes` and how many bytes it takes; `None` if more must come.
+pub fn parse(bytes: &[u8]) -> Result<Option<(Request, usize)>, Broken> {
+    let Some((head, mut at)) = line(bytes, 0)? else { return Ok(None) };
+    let words = count(head, b'*', WORDS_MOST)?;
+    let mut parts: Vec<&[u8]> = Vec::with_capacity(words);
+    let mut total = 0;
+    for _ in 0..words {
+        let Some((head, next)) = line(bytes, at)? else { return Ok(None) };
+        let len = count(head, b'$', WORD_MOST)?;
+        total += len;
+        if total > WORD_MOST + 2048 {
+            return Err(Broken("the request is too large"));
+        }
+        let Some(word) = bytes.get(next..next + len + 2) else { return Ok(None) };
+        if &word[len..] != b"\r\n" {
+            return Err(Broken("a bulk string must end in CR LF"));
+        }
+        parts.push(&word[..len]);
+        at = next + len + 2;
+    }
+    Ok(Some((command(&parts), at)))
+}
+
+fn command(parts: &[&[u8]]) -> Request {
+    let Some(name) = parts.first() else { return Request::Unknown("empty command") };
+    let text = |part: &[u8]| std::str::from_utf8(part).ok().map(str::to_owned);
+    if name.eq_ignore_ascii_case(b"PING") {
+        Request::Ping
+    } else if name.eq_ignore_ascii_case(b"QUIT") {
+        Request::Quit
+    } else if name.eq_ignore_ascii_case(b"MSG.PUT") {
+        let [_, _, id, names, body] = parts else { return Request::Unknown("MSG.PUT takes four arguments") };
+        let named =
+            |id: &String| !id.is_empty() && id.len() <= 64 && id.bytes().all(|b| b.is_ascii_graphic());
+        match (text(id).filter(named), text(names)) {
+            (Some(id), Some(names)) => Request::Put { id, names, body: body.to_vec() },
+            _ => Request::Unknown("id or names not readable"),
+        }
+    } else {
+        Request::Unknown("unknown command")
+    }
+}
+
+/// Reads a notice's list of names and values.
+pub fn notice(
+    site: &Site,
+    from: usize,
+    id: String,
+    names: &str,
+    body: Vec<u8>,
+) -> Result<Notice, &'static str> {
+    let (mut class, mut station, mut left, mut partner, mut key) = (None, None, None, None, None);
+    for pair in names.split(',').filter(|p| !p.is_empty()) {
+        let (name, value) = pair.split_once('=').ok_or("a name without a value")?;
+        match name {
+            "c" => class = Some(site.class(value).ok_or("class not known")?),
+            "t" => station = Some(site.station(value).ok_or("station not known")?),
+            "d" => left = Some(value.parse::<u64>().map_err(|_| "time left not a number")?),
+            "dest" => partner = Some(value.parse::<u64>().map_err(|_| "destination not a number")?),
+            "k" => {
+                let plain = value.len() <= 128 && value.bytes().all(|b| b.is_ascii_graphic());
+                key = Some(value.to_owned()).filter(|_| plain);
+                key.as_ref().ok_or("key not readable")?;
+            }
+            // Marks of a repeat, and names that newer clients may add, change nothing here.
+            _ => {}
+        }
+    }
+    let class = class.ok_or("class missing")?;
+    let longest = site.settings.classes[class].deadline;
+    Ok(Notice {
+        id,
+        class,
+        station: station.unwrap_or(0),
+        partner: partner.ok_or("destination missing")?,
+        key,
+        body: Arc::from(body),
+        left: left.map_or(longest, Duration::from_millis).min(longest),
+        spent: 0,
+        envelope: None,
+        from: Origin::Client(from),
+    })
+}
+
+/// The answer's bytes.
+pub fn answer(answer: Answer) -> Vec<u8> {
+    match answer {
+        Answer::TakenOn | Answer::Delivered => b"+OK\r\n".to_vec(),
+        Answer::Refused { after: Some(after) } => format!("-BUSY {}\r\n", after.as_millis()).into_bytes(),
+        Answer::Refused { after: None } => b"-BUSY\r\n".to_vec(),
+        Answer::Failed | Answer::Gone | Answer::GivenUp => b"-ERR failed\r\n".to_vec(),
+    }
+}
+
+pub fn error(why: &str) -> Vec<u8> {
+    format!("-ERR {why}\r\n").into_bytes()
+}
--- /dev/null
+++ b/crates/cranehill/src/closing.rs
@@ -0,0 +1,66 @@
+//! Closing reports: how the platform is told of notices that ended without delivery. One call is out at a
+//! time; what it carried is kept until its 204 and sent again otherwise.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::core::Closing;
+use crate::http;
+
+/// Pause before a report is sent again, and how long its answer may take.
+pub const AGAIN: Duration = Duration::from_millis(100);
+pub const OVERDUE: Duration = Duration::from_millis(1000);
+const LINES_MOST: usize = 200;
+
+#[derive(Debug, Default)]
+pub struct Reports {
+    waiting: VecDeque<(String, Closing)>,
+    out: Vec<(String, Closing)>,
+}
+
+impl Reports {
+    pub fn add(&mut self, id: String, closing: Closing) {
+        self.waiting.push_back((id, closing));
+    }
+
+    /// The next call's bytes, if there is something to report and no call is out.
+    pub fn next(&mut self, host: &str) -> Option<Vec<u8>> {
+        if !self.out.is_empty() || self.waiting.is_empty() {
+            return None;
+        }
+        self.out = self.waiting.drain(..self.waiting.len().min(LINES_MOST)).collect();
+        let mut body = String::new();
+        for (id, closing) in &self.out {
+            let line = match closing {
+                Closing::Returned { after_ms: 0 } => serde_json::json!({"id": id, "state": "returned"}),
+                Closing::Returned { after_ms } => {
+                    serde_json::json!({"id": id, "state": "returned", "after_ms": after_ms})
+                }
+                Closing::Failed => serde_json::json!({"id": id, "state": "failed"}),
+            };
+            body.push_str(&format!("{line}\n"));
+        }
+        Some(http::write_request("POST", "/v1/notices", host, &[], body.as_bytes()))
+    }
+
+    /// The call's answer: the ids that the platform now has.
+    pub fn answered(&mut self, status: u16) -> Vec<String> {
+        if status == 204 || status == 200 {
+            return self.out.drain(..).map(|(id, _)| id).collect();
+        }
+        log::error!("closing: the platform answered {status} to {} reports; sent again", self.out.len());
+        self.lost();
+        Vec::new()
+    }
+
+    /// The call had no answer.
+    pub fn lost(&mut self) {
+        for report in self.out.drain(..).rev() {
+            self.waiting.push_front(report);
+        }
+    }
+
+    pub fn idle(&self) -> bool {
+        self.out.is_empty() && self.waiting.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/cranehill/src/config.rs
@@ -0,0 +1,116 @@
+//! What the sender is told at start: the platform's variables and file.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use serde::Deserialize;
+use tansycroft::api::Settings;
+use tansycroft::profile::{Names, Profile};
+
+use crate::core::Listing;
+use crate::directory;
+
+/// The deployment's settings and the names on its wires.
+#[derive(Clone, Debug)]
+pub struct Site {
+    pub settings: Settings,
+    pub names: Names,
+    classes: HashMap<String, usize>,
+    stations: HashMap<String, usize>,
+}
+
+impl Site {
+    pub fn new(settings: Settings, names: Names) -> Site {
+        let places = |n: &[String]| n.iter().enumerate().map(|(i, n)| (n.clone(), i)).collect();
+        let (classes, stations) = (places(&names.classes), places(&names.tenants));
+        Site { settings, names, classes, stations }
+    }
+
+    pub fn class(&self, name: &str) -> Option<usize> {
+        self.classes.get(name).copied().filter(|&c| c < self.settings.classes.len())
+    }
+
+    pub fn station(&self, name: &str) -> Option<usize> {
+        self.stations.get(name).copied()
+    }
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(default)]
+pub struct Limits {
+    pub sockets: usize,
+    pub disk_mb: f64,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { sockets: 1024, disk_mb: 3.0 }
+    }
+}
+
+/// All that one sender is told.
+#[derive(Debug)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub state: PathBuf,
+    pub seed: u64,
+    pub limits: Limits,
+    pub site: Site,
+    pub known_version: u64,
+    pub known: Vec<Listing>,
+}
+
+#[derive(Deserialize)]
+struct File {
+    #[serde(default)]
+    name: String,
+    listen: Option<String>,
+    discovery: Option<String>,
+    #[serde(default)]
+    seed: serde_json::Value,
+    #[serde(default)]
+    limits: Limits,
+    known: Option<directory::List>,
+    settings: Profile,
+}
+
+fn address(what: &str, text: Option<String>) -> Result<SocketAddr, String> {
+    let text = text.ok_or_else(|| format!("{what}: not given"))?;
+    text.parse().map_err(|_| format!("{what}: '{text}' is not an address and port"))
+}
+
+/// Reads the platform's variables (`var`) and the file that one of them names.
+pub fn load(var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    let path = var("NODE_CONFIG").ok_or("NODE_CONFIG: not set")?;
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
+    parse(&text, var).map_err(|e| format!("{path}: {e}"))
+}
+
+/// As [`load`], from the file's text. A variable goes before what the file says.
+pub fn parse(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+    let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
+    let names = file.settings.names();
+    let site = Site::new(file.settings.into_settings()?, names);
+    let seed = match &file.seed {
+        serde_json::Value::String(s) => u64::from_str_radix(s, 16).unwrap_or(0),
+        other => other.as_u64().unwrap_or(0),
+    };
+    let (known_version, known) = match file.known {
+        Some(list) => (list.version, list.into_listings(&site)?),
+        None => (0, Vec::new()),
+    };
+    Ok(Config {
+        name: var("NODE_NAME").unwrap_or(file.name),
+        listen: address("listen", var("NODE_LISTEN").or(file.listen))?,
+        discovery: address("discovery", var("NODE_DISCOVERY").or(file.discovery))?,
+        state: var("NODE_STATE").ok_or("NODE_STATE: not set")?.into(),
+        seed,
+        limits: file.limits,
+        site,
+        known_version,
+        known,
+    })
+}
--- /dev/null
+++ b/crates/cranehill/src/http.rs
@@ -0,0 +1,219 @@
+//! HTTP/1.1 messages as bytes: incremental and bounded parsing round `httparse`, and writing.
+
+use std::time::Duration;
+
+/// The largest body taken.
+pub const BODY_MOST: usize = 64 * 1024;
+const HEAD_MOST: usize = 16 * 1024;
+const HEADERS_MOST: usize = 64;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Malformed(pub &'static str);
+
+pub type Headers = Vec<(String, Vec<u8>)>;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    pub method: String,
+    pub path: String,
+    pub headers: Headers,
+    pub body: Vec<u8>,
+    pub close: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Response {
+    pub status: u16,
+    pub headers: Headers,
+    pub body: Vec<u8>,
+    pub close: bool,
+}
+
+/// A header's text, the first of that name.
+pub fn header<'a>(headers: &'a Headers, name: &str) -> Option<&'a str> {
+    let found = headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name))?;
+    std::str::from_utf8(&found.1).ok().map(str::trim)
+}
+
+fn own(headers: &[httparse::Header<'_>]) -> Headers {
+    headers.iter().map(|h| (h.name.to_owned(), h.value.to_vec())).collect()
+}
+
+fn has_token(headers: &Headers, name: &str, token: &str) -> bool {
+    header(headers, name).is_some_and(|v| v.split(',').any(|t| t.trim().eq_ignore_ascii_case(token)))
+}
+
+enum Length {
+    Known(usize),
+    Chunked,
+    Unstated,
+}
+
+fn length(headers: &Headers) -> Result<Length, Malformed> {
+    if header(headers, "transfer-encoding").is_some() {
+        return if has_token(headers, "transfer-encoding", "chunked") {
+            Ok(Length::Chunked)
+        } else {
+            Err(Malformed("transfer encoding not known"))
+        };
+    }
+    let mut stated: Option<usize> = None;
+    for (_, value) in headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case("content-length")) {
+        let text = std::str::from_utf8(value).map_err(|_| Malformed("content length not a number"))?.trim();
+        if text.is_empty() || !text.bytes().all(|b| b.is_ascii_digit()) {
+            return Err(Malformed("content length not a number"));
+        }
+        let len = text.parse().map_err(|_| Malformed("body too large"))?;
+        if stated.is_some_and(|s| s != len) {
+            return Err(Malformed("content lengths differ"));
+        }
+        stated = Some(len);
+    }
+    match stated {
+        Some(len) if len > BODY_MOST => Err(Malformed("body too large")),
+        Some(len) => Ok(Length::Known(len)),
+        None => Ok(Length::Unstated),
+    }
+}
+
+/// The chunks' bytes and where they end, once all have come.
+fn chunked(bytes: &[u8]) -> Result<Option<(Vec<u8>, usize)>, Malformed> {
+    let (mut body, mut at) = (Vec::new(), 0);
+    loop {
+        let rest = &bytes[at..];
+        let parsed = httparse::parse_chunk_size(rest).map_err(|_| Malformed("chunk size"))?;
+        let httparse::Status::Complete((skip, size)) = parsed else {
+            return if rest.len() > 256 { Err(Malformed("chunk size")) } else { Ok(None) };
+        };
+        let size = usize::try_from(size).unwrap_or(usize::MAX);
+        if size > BODY_MOST || body.len() + size > BODY_MOST {
+            return Err(Malformed("body too large"));
+        }
+        at += skip;
+        if size == 0 {
+            // Trailers are read over.
+            let trailers = &bytes[at..];
+            if trailers.starts_with(b"\r\n") {
+                return Ok(Some((body, at + 2)));
+            }
+            if trailers.len() > HEAD_MOST {
+                return Err(Malformed("trailers too large"));
+            }
+            return Ok(trailers.windows(4).position(|w| w == b"\r\n\r\n").map(|p| (body, at + p + 4)));
+        }
+        let Some(chunk) = bytes.get(at..at + size + 2) else { return Ok(None) };
+        if !chunk.ends_with(b"\r\n") {
+            return Err(Malformed("chunk end"));
+        }
+        body.extend_from_slice(&chunk[..size]);
+        at += size + 2;
+    }
+}
+
+fn body(bytes: &[u8], length: Length) -> Result<Option<(Vec<u8>, usize)>, Malformed> {
+    match length {
+        Length::Known(len) => Ok(bytes.get(..len).map(|b| (b.to_vec(), len))),
+        Length::Chunked => chunked(bytes),
+        Length::Unstated => Ok(Some((Vec::new(), 0))),
+    }
+}
+
+/// The first whole request in `bytes` and how many bytes it takes; `None` if more must come.
+pub fn request(bytes: &[u8]) -> Result<Option<(Request, usize)>, Malformed> {
+    let mut slots = [httparse::EMPTY_HEADER; HEADERS_MOST];
+    let mut parsed = httparse::Request::new(&mut slots);
+    let head = match parsed.parse(bytes).map_err(|_| Malformed("request head"))? {
+        httparse::Status::Complete(head) => head,
+        httparse::Status::Partial if bytes.len() > HEAD_MOST => return Err(Malformed("head too large")),
+        httparse::Status::Partial => return Ok(None),
+    };
+    let headers = own(parsed.headers);
+    let old = parsed.version == Some(0);
+    let close = has_token(&headers, "connection", "close") || old;
+    let (method, path) = (parsed.method.unwrap_or("").to_owned(), parsed.path.unwrap_or("").to_owned());
+    let Some((body, len)) = body(&bytes[head..], length(&headers)?)? else { return Ok(None) };
+    Ok(Some((Request { method, path, headers, body, close }, head + len)))
+}
+
+/// The first whole response, as [`request`]; `ended` says that the peer has closed.
+pub fn response(bytes: &[u8], ended: bool) -> Result<Option<(Response, usize)>, Malformed> {
+    let mut slots = [httparse::EMPTY_HEADER; HEADERS_MOST];
+    let mut parsed = httparse::Response::new(&mut slots);
+    let head = match parsed.parse(bytes).map_err(|_| Malformed("response head"))? {
+        httparse::Status::Complete(head) => head,
+        httparse::Status::Partial if bytes.len() > HEAD_MOST => return Err(Malformed("head too large")),
+        httparse::Status::Partial => return Ok(None),
+    };
+    let status = parsed.code.unwrap_or(0);
+    let headers = own(parsed.headers);
+    let old = parsed.version == Some(0);
+    if (100..200).contains(&status) {
+        // An interim answer: the real one follows.
+        return Ok(response(&bytes[head..], ended)?.map(|(r, used)| (r, head + used)));
+    }
+    let mut close = has_token(&headers, "connection", "close") || old;
+    let none = status == 204 || status == 304;
+    let len = if none { Length::Known(0) } else { length(&headers)? };
+    let unstated = matches!(len, Length::Unstated);
+    let whole = if unstated {
+        close = true;
+        if bytes.len() - head > BODY_MOST {
+            return Err(Malformed("body too large"));
+        }
+        ended.then(|| (bytes[head..].to_vec(), bytes.len() - head))
+    } else {
+        body(&bytes[head..], len)?
+    };
+    Ok(whole.map(|(body, len)| (Response { status, headers, body, close }, head + len)))
+}
+
+/// The status of a response whose first line has come whole, whatever follows.
+pub fn first_line(bytes: &[u8]) -> Option<u16> {
+    let end = bytes.windows(2).position(|w| w == b"\r\n")?;
+    let line = std::str::from_utf8(&bytes[..end]).ok()?;
+    let mut words = line.split(' ');
+    words.next().filter(|w| w.starts_with("HTTP/1."))?;
+    words.next()?.parse().ok()
+}
+
+/// A request's bytes. `Content-Length` is added.
+pub fn write_request(
+    method: &str,
+    path: &str,
+    host: &str,
+    headers: &[(&str, String)],
+    body: &[u8],
+) -> Vec<u8> {
+    let mut head = format!("{method} {path} HTTP/1.1\r\nHost: {host}\r\n");
+    for (name, value) in headers {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    if method != "GET" {
+        head.push_str(&format!("Content-Length: {}\r\n", body.len()));
+    }
+    head.push_str("\r\n");
+    let mut bytes = head.into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
+}
+
+pub fn write_response(status: u16, reason: &str, headers: &[(&str, String)], body: &str) -> Vec<u8> {
+    let mut text = format!("HTTP/1.1 {status} {reason}\r\n");
+    for (name, value) in headers {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    text.push_str(&format!("Content-Length: {}\r\n\r\n{body}", body.len()));
+    text.into_bytes()
+}
+
+/// `Retry-After`: seconds, with decimals where the peer writes them, or a date.
+pub fn told_wait(headers: &Headers, unix_now: Duration) -> Option<Duration> {
+    let text = header(headers, "retry-after")?;
+    if let Ok(seconds) = text.parse::<f64>() {
+        let sane = seconds.is_finite() && seconds > 0.0;
+        return sane.then(|| Duration::from_secs_f64(seconds.min(86_400.0)));
+    }
+    let at = httpdate::parse_http_date(text).ok()?;
+    let at = at.duration_since(std::time::UNIX_EPOCH).ok()?;
+    at.checked_sub(unix_now).filter(|w| !w.is_zero())
+}
--- /dev/null
+++ b/crates/cranehill/src/main.rs
@@ -0,0 +1,5 @@
+#![forbid(unsafe_code)]
+
+fn main() -> std::process::ExitCode {
+    cranehill::cli::main()
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -241,6 +241,11 @@
     Cancelled,
     /// Never left the sender.
     NotSent,
+    /// Whom the message is for is no longer there: it never ran and never will. It says nothing of the
+    /// destination's health.
+    Gone,
+    /// The destination will never take this message as it is; it did not run.
+    Rejected,
 }
 
 /// What a destination tells of its limit: late and noisy.
@@ -267,6 +272,17 @@
     pub time_left: Duration,
     /// Its destination.
     pub dest: DestId,
+    /// What was done for it before, under the same id: by an earlier life of this sender.
+    pub past: Past,
+}
+
+/// What was already done for a message when it is handed to a sender.
+#[derive(Clone, Debug, Default)]
+pub struct Past {
+    /// Attempts used.
+    pub attempts: u32,
+    /// How long ago, and where, the first attempt went that may have taken effect.
+    pub maybe_ran: Option<(Duration, EndpointId)>,
 }
 
 /// How an attempt concluded.
--- a/src/bin/tansycroft-benchlink/wire.rs
+++ b/src/bin/tansycroft-benchlink/wire.rs
@@ -5,9 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 use tansycroft::api::{
-    self, Action, Class, Condition, Decay, DedupScope, DestId, Effect, EndpointId, Entry, Event, Key, Kind,
-    MsgId, Report, Rules, Settings, Status, Taken, Tenant,
+    self, Action, Condition, DestId, EndpointId, Entry, Event, Key, MsgId, Past, Report, Status, Taken,
 };
+use tansycroft::profile::Profile;
 
 fn ns(n: u64) -> Duration {
     Duration::from_nanos(n)
@@ -106,6 +106,7 @@
                     key: key.map(Key),
                     time_left: ns(u64::try_from(time_left).unwrap_or(0)),
                     dest: DestId(called_node),
+                    past: Past::default(),
                 };
                 (sender, Some(Event::Accept(taken)))
             }
@@ -208,163 +209,6 @@
     }
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Profile {
-    classes: Vec<WireClass>,
-    family_info: FamilyInfo,
-    membership_mode: String,
-    n_instances: u32,
-    #[serde(default)]
-    over_share_worth: f64,
-    policy_limits: PolicyLimits,
-    rules: WireRules,
-    #[serde(default)]
-    tenants: Vec<WireTenant>,
-    tick: u64,
-    #[serde(default)]
-    weight_kind: String,
-    #[serde(default)]
-    zone: u32,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct WireClass {
-    aim: u64,
-    deadline: u64,
-    effect: String,
-    #[serde(default)]
-    dedup_scope: String,
-    #[serde(default)]
-    window: u64,
-    #[serde(default)]
-    by_arrival: bool,
-    worth: f64,
-    #[serde(default)]
-    late_share: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct FamilyInfo {
-    calls_out: u32,
-    #[serde(default)]
-    kind_apart: Vec<bool>,
-    #[serde(default)]
-    loses_worth: String,
-    #[serde(default)]
-    per_call: Vec<u32>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct PolicyLimits {
-    attempts_cap: u32,
-    conn_idle: u64,
-    connect_timeout: u64,
-    max_retry_after: u64,
-    most_held: usize,
-    #[serde(default)]
-    probes: bool,
-    #[serde(default)]
-    retry_after: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct WireRules {
-    #[serde(default)]
-    cold: u64,
-    #[serde(default)]
-    cold_from: f64,
-    #[serde(default)]
-    fall: u64,
-    #[serde(default)]
-    fall_multiple: f64,
-    #[serde(default)]
-    grace_to_answer: u64,
-    #[serde(default)]
-    key_quiet: u64,
-    #[serde(default)]
-    must_ask_in: u64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct WireTenant {
-    #[serde(default)]
-    quota_rps: f64,
-}
-
-impl Profile {
-    pub fn into_settings(self) -> Result<Settings, String> {
-        let classes = self.classes.into_iter().map(WireClass::into_class).collect::<Result<Vec<_>, _>>()?;
-        let family = self.family_info;
-        let count = family.per_call.len().max(family.kind_apart.len());
-        let kinds = (0..count)
-            .map(|i| Kind {
-                per_call: family.per_call.get(i).copied().unwrap_or(1),
-                apart: family.kind_apart.get(i).copied().unwrap_or(false),
-            })
-            .collect();
-        let (limits, rules) = (self.policy_limits, self.rules);
-        Ok(Settings {
-            classes,
-            kinds,
-            tenants: self.tenants.iter().map(|t| Tenant { quota_rps: t.quota_rps }).collect(),
-            over_share_worth: self.over_share_worth,
-            decay: if family.loses_worth == "halving" { Decay::Halving } else { Decay::Linear },
-            slots: family.calls_out,
-            most_held: limits.most_held,
-            attempts_cap: limits.attempts_cap,
-            connect_timeout: ns(limits.connect_timeout),
-            conn_idle: ns(limits.conn_idle),
-            instances: self.n_instances,
-            zone: self.zone,
-            ask_for_list: self.membership_mode == "ask",
-            rates_listed: matches!(self.weight_kind.as_str(), "nominal" | "rough"),
-            probes: limits.probes,
-            retry_after: limits.retry_after,
-            max_retry_after: ns(limits.max_retry_after),
-            tick: ns(self.tick),
-            rules: Rules {
-                cold_from: rules.cold_from,
-                cold: ns(rules.cold),
-                fall_multiple: rules.fall_multiple,
-                fall: ns(rules.fall),
-                key_quiet: ns(rules.key_quiet),
-                must_ask_in: ns(rules.must_ask_in),
-                grace_to_answer: ns(rules.grace_to_answer),
-            },
-        })
-    }
-}
-
-impl WireClass {
-    fn into_class(self) -> Result<Class, String> {
-        Ok(Class {
-            aim: ns(self.aim),
-            deadline: ns(self.deadline),
-            effect: match self.effect.as_str() {
-                "safe" => Effect::Safe,
-                "keyed" => Effect::Keyed,
-                "unsafe" => Effect::Unsafe,
-                e => return Err(format!("unknown effect {e}")),
-            },
-            dedup: match self.dedup_scope.as_str() {
-                "all" | "" => DedupScope::All,
-                "zone" => DedupScope::Zone,
-                _ => DedupScope::Endpoint,
-            },
-            window: ns(self.window),
-            in_order: self.by_arrival,
-            worth: self.worth,
-            late_share: self.late_share,
-        })
-    }
-}
-
 #[derive(Serialize)]
 pub struct Reply {
     pub output: Vec<Out>,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -413,7 +413,7 @@
     }
 
     fn on_accept(&mut self, taken: Taken) {
-        let Taken { id, class, tenant, key, time_left: left, dest } = taken;
+        let Taken { id, class, tenant, key, time_left: left, dest, past } = taken;
         if class >= self.set.classes.len() || self.ids.contains_key(&id) {
             return;
         }
@@ -459,9 +459,13 @@
             aim_at: self.now + spec.aim.saturating_sub(passed),
             deadline: self.now + left,
             not_before: self.now,
-            attempts: 0,
+            attempts: past.attempts,
             out: None,
-            maybe_ran: None,
+            // An earlier life's attempt keeps its age, so that no repeat leaves its window.
+            maybe_ran: past.maybe_ran.map(|(ago, at)| {
+                (Time(self.now.0.saturating_sub(ago.as_nanos() as u64)), self.by_id.get(&at).copied())
+            }),
+            verdict: None,
             over: false,
         };
         self.messages.insert(number, message);
@@ -495,7 +499,7 @@
         let cut_short = status == Status::TimedOut && took.as_secs_f64() < overdue;
         if first && !cut_short {
             match status {
-                Status::Served | Status::Error => {
+                Status::Served | Status::Error | Status::Gone | Status::Rejected => {
                     self.lanes[lane].rtt[class].sample(took.as_secs_f64());
                     self.endpoints[out.endpoint].last_answer = now;
                 }
@@ -536,9 +540,10 @@
         let may_have_run = match status {
             Status::Served | Status::Error | Status::TimedOut | Status::Reset | Status::Cancelled => true,
             Status::Refused | Status::NoConnection | Status::NotSent => false,
+            Status::Gone | Status::Rejected => false,
         };
         if may_have_run {
-            message.maybe_ran.get_or_insert((out.sent, out.endpoint));
+            message.maybe_ran.get_or_insert((out.sent, Some(out.endpoint)));
         }
         if matches!(status, Status::TimedOut | Status::Reset | Status::Cancelled)
             && let Some(line) = message.key.as_ref().and_then(|k| self.keys.get_mut(k))
@@ -548,6 +553,9 @@
         if over || message.over || status == Status::Served {
             return self.close(number);
         }
+        if matches!(status, Status::Gone | Status::Rejected) {
+            message.verdict = Some(status);
+        }
         let pause = match status {
             Status::Error | Status::Reset | Status::NotSent => {
                 0.05 * f64::from(1u32 << message.attempts.min(5))
@@ -565,7 +573,7 @@
         let idled = endpoint.gap > IDLE_LEAST && endpoint.streak == 0;
         let lost = match status {
             Status::TimedOut | Status::Reset => true,
-            Status::Served | Status::Error => false,
+            Status::Served | Status::Error | Status::Gone | Status::Rejected => false,
             Status::Refused | Status::NoConnection | Status::Cancelled | Status::NotSent => return,
         };
         if !idled {
@@ -614,6 +622,8 @@
             Status::Served => Sign::Good,
             Status::Refused => Sign::Refused,
             Status::Error | Status::TimedOut | Status::NoConnection | Status::Reset => Sign::Bad,
+            // An answer about one message only: the service is neither better nor worse for it.
+            Status::Gone | Status::Rejected => return lane.window.answered(),
             Status::Cancelled | Status::NotSent => return,
         };
         match status {
@@ -660,9 +670,10 @@
         let repeats =
             class.effect == Effect::Safe || class.effect == Effect::Keyed && class.dedup == DedupScope::All;
         let harmless = message.maybe_ran.is_none() || repeats;
-        let id = message.id.clone();
-        self.acts.push(if harmless {
-            let after = self.set.retry_after.then_some(self.set.max_retry_after / 2);
+        let (id, verdict) = (message.id.clone(), message.verdict);
+        self.acts.push(if harmless && verdict != Some(Status::Rejected) {
+            let again = self.set.retry_after && verdict.is_none();
+            let after = again.then_some(self.set.max_retry_after / 2);
             Action::Refuse { id, after }
         } else {
             Action::Fail(id)
@@ -702,6 +713,7 @@
     fn may_repeat(&self, m: &Message) -> bool {
         let class = &self.set.classes[m.class];
         m.attempts < self.set.attempts_cap
+            && m.verdict.is_none()
             && m.maybe_ran.is_none_or(|(sent, _)| match class.effect {
                 Effect::Safe => true,
                 Effect::Keyed => self.now < sent + class.window,
@@ -770,10 +782,10 @@
             return false;
         }
         // A repeat that may be one goes only where it is dropped.
-        let dropped = |first: usize| match class.dedup {
+        let dropped = |first: Option<usize>| match class.dedup {
             DedupScope::All => true,
-            DedupScope::Zone => self.endpoints[first].zone == endpoint.zone,
-            DedupScope::Endpoint => first == e,
+            DedupScope::Zone => first.is_some_and(|f| self.endpoints[f].zone == endpoint.zone),
+            DedupScope::Endpoint => first == Some(e),
         };
         if class.effect == Effect::Keyed && m.maybe_ran.is_some_and(|(_, first)| !dropped(first)) {
             return false;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod api;
 mod brain;
+pub mod profile;
 mod state;
 
 pub use api::{Action, Event, Settings, SettingsError, Time};
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::api::{Condition, DestId, EndpointId, Entry, Key, Kind, MsgId, Time};
+use crate::api::{Condition, DestId, EndpointId, Entry, Key, Kind, MsgId, Status, Time};
 use crate::brain::{Demand, Health, Rtt, Window};
 
 #[derive(Debug)]
@@ -80,7 +80,9 @@
     pub attempts: u32,
     pub out: Option<Attempt>,
     /// First send that may have taken effect, and where.
-    pub maybe_ran: Option<(Time, usize)>,
+    pub maybe_ran: Option<(Time, Option<usize>)>,
+    /// An answer that no further attempt can change: gone, or rejected as it is.
+    pub verdict: Option<Status>,
     pub over: bool,
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -89,6 +89,7 @@
         key: key.map(|k| Key(k.into())),
         time_left: Duration::from_millis(left_ms),
         dest: DestId(1),
+        past: Past::default(),
     })
 }
 
