--- a/crates/cranehill/src/cli.rs
+++ b/crates/cranehill/src/cli.rs
@@ -90,7 +90,7 @@
             sockets: 1024,
         });
     };
-    log::info!("{}: listening for clients at {}", config.name, config.listen);
+    
     Ok(Setup {
         site: config.site,
         seed: config.seed,
--- a/crates/cranehill/src/reactor.rs
+++ b/crates/cranehill/src/reactor.rs
@@ -200,6 +200,10 @@
     format!("{what} {address}: {e}")
 }
 
+fn shown(listener: &Option<TcpListener>) -> String {
+    listener.as_ref().and_then(|l| l.local_addr().ok()).map_or("nowhere".into(), |a| a.to_string())
+}
+
 impl Reactor {
     /// Takes up what the ledger holds, then listens.
     pub fn new(setup: Setup) -> Result<Reactor, String> {
@@ -251,9 +255,11 @@
         log::info!("started: {found} records in the ledger, {held} notices held, {reports} reports due");
         if let Some(address) = listen {
             reactor.clients = Some(reactor.listen(address, CLIENTS)?);
+            log::info!("listening for clients at {}", shown(&reactor.clients));
         }
         if let Some(address) = push_listen {
             reactor.pushes = Some(reactor.listen(address, PUSHES)?);
+            log::info!("listening for Web Push at {}", shown(&reactor.pushes));
         }
         Ok(reactor)
     }
