--- a/crates/cranehill/src/cli.rs
+++ b/crates/cranehill/src/cli.rs
@@ -8,8 +8,9 @@
 use clap::{Parser, Subcommand};
 
 use crate::config::{self, Config};
-use crate::reactor::{Reactor, Setup};
+use crate::reactor::{self, Reactor, Setup};
 use crate::webpush;
+use crate::{nginx, rehearsal};
 
 #[derive(Parser)]
 #[command(
@@ -32,6 +33,16 @@
     },
     /// Print the version.
     Version,
+    /// Turn nginx upstream and location blocks into a Web Push file, on standard output.
+    ImportNginx {
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+    },
+    /// Play a script against the real sender and a stand-in push service.
+    Rehearse {
+        #[arg(value_name = "SCRIPT")]
+        script: PathBuf,
+    },
     /// Read the configuration (NODE_CONFIG) and a Web Push file, and say what is wrong with them.
     Check {
         #[arg(long, value_name = "FILE")]
@@ -52,6 +63,12 @@
             println!("cranehill {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
+        Command::ImportNginx { file } => import_nginx(&file),
+        Command::Rehearse { script } => match rehearse(&script) {
+            Ok(true) => Ok(()),
+            Ok(false) => return ExitCode::FAILURE,
+            Err(why) => Err(why),
+        },
         Command::Check { webpush } => check(webpush.as_deref()),
     };
     match result {
@@ -68,8 +85,7 @@
 }
 
 fn webpush_file(path: &Path) -> Result<webpush::File, String> {
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    webpush::parse_file(&text).map_err(|e| format!("{}: {e}", path.display()))
+    webpush::parse_file(&read(path)?).map_err(|e| format!("{}: {e}", path.display()))
 }
 
 fn setup(config: Option<Config>, push: Option<webpush::File>) -> Result<Setup, String> {
@@ -90,7 +106,7 @@
             sockets: 1024,
         });
     };
-    
+
     Ok(Setup {
         site: config.site,
         seed: config.seed,
@@ -117,7 +133,7 @@
             .map_err(|e| format!("signals: {e}"))?;
     reactor
         .registry()
-        .register(&mut signals, mio::Token(2), mio::Interest::READABLE)
+        .register(&mut signals, reactor::SIGNALS, mio::Interest::READABLE)
         .map_err(|e| format!("signals: {e}"))?;
     reactor
         .run(|| {
@@ -129,6 +145,27 @@
         .map_err(|e| format!("poll: {e}"))
 }
 
+fn read(path: &Path) -> Result<String, String> {
+    std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn import_nginx(path: &Path) -> Result<(), String> {
+    let named = |e: String| format!("{}: {e}", path.display());
+    let imported = nginx::import(&read(path)?).map_err(named)?;
+    for (line, what) in &imported.left_out {
+        eprintln!("{}: line {line}: not carried over: {what}", path.display());
+    }
+    print!("{}", toml::to_string(&imported.file).map_err(|e| named(e.to_string()))?);
+    Ok(())
+}
+
+fn rehearse(path: &Path) -> Result<bool, String> {
+    let script = rehearsal::parse(&read(path)?).map_err(|e| format!("{}: {e}", path.display()))?;
+    let report = rehearsal::play(&script)?;
+    report.lines.iter().for_each(|l| println!("{l}"));
+    Ok(report.missed == 0)
+}
+
 fn check(webpush: Option<&Path>) -> Result<(), String> {
     let config = load_config()?;
     if let Some(config) = &config {
--- a/crates/cranehill/src/lib.rs
+++ b/crates/cranehill/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod directory;
 pub mod http;
 pub mod ledger;
+pub mod nginx;
 pub mod partners;
 pub mod reactor;
+pub mod rehearsal;
 pub mod webpush;
--- a/crates/cranehill/src/reactor.rs
+++ b/crates/cranehill/src/reactor.rs
@@ -5,6 +5,8 @@
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use mio::net::{TcpListener, TcpStream};
@@ -24,6 +26,9 @@
 
 const CLIENTS: Token = Token(0);
 const PUSHES: Token = Token(1);
+/// For the caller's signals.
+pub const SIGNALS: Token = Token(2);
+const HALT: Token = Token(3);
 const FIRST_LINK: usize = 16;
 /// How long before a partner closes an idle connection we stop trusting it.
 const IDLE_MARGIN: Duration = Duration::from_millis(1000);
@@ -194,6 +199,23 @@
     stopping: Option<Time>,
     sending_stopped: bool,
     accept_again: Option<Time>,
+    halted: Arc<AtomicBool>,
+}
+
+/// See [`Reactor::halter`].
+#[derive(Clone)]
+pub struct Halter {
+    halted: Arc<AtomicBool>,
+    waker: Arc<mio::Waker>,
+}
+
+impl Halter {
+    pub fn halt(&self) {
+        self.halted.store(true, Ordering::Relaxed);
+        if let Err(e) = self.waker.wake() {
+            log::error!("halt: {e}");
+        }
+    }
 }
 
 fn sockets_error(what: &str, address: SocketAddr, e: io::Error) -> String {
@@ -248,6 +270,7 @@
             stopping: None,
             sending_stopped: false,
             accept_again: None,
+            halted: Arc::default(),
         };
         reactor.carry_out(effects);
         reactor.rewrite_ledger();
@@ -283,6 +306,12 @@
         self.poll.registry()
     }
 
+    /// A handle that ends [`Reactor::run`] from another thread, at once and without the steps of a SIGTERM.
+    pub fn halter(&self) -> io::Result<Halter> {
+        let waker = mio::Waker::new(self.poll.registry(), HALT)?;
+        Ok(Halter { halted: self.halted.clone(), waker: Arc::new(waker) })
+    }
+
     /// Begins the end: as on SIGTERM.
     pub fn stop(&mut self) {
         if self.stopping.is_none() {
@@ -299,6 +328,9 @@
             if signalled() {
                 self.stop();
             }
+            if self.halted.load(Ordering::Relaxed) {
+                return Ok(());
+            }
             if self.turn(&mut events)? {
                 let (held, reports) = self.core.owed();
                 let breaches = self.core.breaches;
@@ -320,6 +352,7 @@
         for token in tokens {
             match token {
                 CLIENTS | PUSHES => self.accept(token),
+                SIGNALS | HALT => {}
                 Token(link) => self.pump(link),
             }
         }
