--- /dev/null
+++ b/crates/cranehill/tests/common/mod.rs
@@ -0,0 +1,149 @@
+//! What the socket tests share: settings, a stand-in platform, clients.
+#![allow(dead_code)]
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use cranehill::config::{self, Config};
+use cranehill::http;
+use cranehill::reactor::{Halter, Reactor, Setup};
+use cranehill::rehearsal::{Reply, StandIn};
+
+/// Longer than anything here takes: only a failure waits so long.
+pub const SOON: Duration = Duration::from_secs(10);
+
+pub const SETTINGS: &str = r#"{"classes":[{"aim":4000000000,"deadline":20000000000,"dedupScope":"all","effect":"keyed","lateShare":0.4,"name":"episode-notice","window":20000000000,"worth":1.0}],
+"familyInfo":{"callsOut":8,"kindApart":[false,false],"losesWorth":"halving","perCall":[5,1]},"membershipMode":"push","models":["bulk-directory","station"],"nInstances":1,
+"policyLimits":{"attemptsCap":6,"connIdle":15000000000,"connectTimeout":1500000000,"maxRetryAfter":2000000000,"mostHeld":64,"probes":true,"retryAfter":true},
+"rules":{"cold":9100000000,"coldFrom":0.23,"fall":3000000000,"fallMultiple":1.5,"graceToAnswer":20000000},
+"tenants":[{"name":"onda-central","quotaRps":10.0}],"tick":5000000,"weightKind":"rough","zone":0,"zones":["sanjose-1"]}"#;
+
+/// A list of endpoints: id, address, partner, kind.
+pub fn list(version: u64, endpoints: &[(&str, SocketAddr, u64, &str)]) -> String {
+    let rows: Vec<String> = endpoints
+        .iter()
+        .map(|(id, addr, cell, kind)| {
+            format!(
+                r#"{{"id":"{id}","addr":"{addr}","zone":"sanjose-1","kind":"{kind}","cell":{cell},"state":"up","weight":0.0,"started_ms":0}}"#
+            )
+        })
+        .collect();
+    format!(r#"{{"version":{version},"full":true,"servers":[{}]}}"#, rows.join(","))
+}
+
+/// The configuration file's text.
+pub fn config_text(known: &str) -> String {
+    format!(
+        r#"{{"name":"n0","seed":"1f","limits":{{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":3}},"known":{known},"settings":{SETTINGS}}}"#
+    )
+}
+
+pub fn config(known: &str, platform: SocketAddr) -> Config {
+    let var = |name: &str| match name {
+        "NODE_LISTEN" => Some("127.0.0.1:0".to_owned()),
+        "NODE_DISCOVERY" => Some(platform.to_string()),
+        "NODE_STATE" => Some("unused".to_owned()),
+        _ => None,
+    };
+    config::parse(&config_text(known), var).expect("configuration")
+}
+
+/// The platform: its watches are held, its closing reports are taken.
+pub fn platform() -> StandIn {
+    StandIn::new(|request, _| match request.method.as_str() {
+        "GET" => Reply::Silent,
+        _ => Reply::status(204),
+    })
+    .expect("platform")
+}
+
+/// A sender in this process.
+pub struct Running {
+    pub clients: SocketAddr,
+    halter: Halter,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.halter.halt();
+    }
+}
+
+pub fn start(known: &str, platform: &StandIn) -> Running {
+    let config = config(known, platform.address);
+    let mut reactor = Reactor::new(Setup {
+        site: config.site,
+        seed: config.seed,
+        state: None,
+        listen: Some(config.listen),
+        discovery: Some(config.discovery),
+        known_version: config.known_version,
+        known: config.known,
+        push: None,
+        sockets: 1024,
+    })
+    .expect("the sender starts");
+    let clients = reactor.addresses().0.expect("it listens");
+    let halter = reactor.halter().expect("halter");
+    std::thread::spawn(move || reactor.run(|| false));
+    Running { clients, halter }
+}
+
+/// A program of a station that hands notices in.
+pub struct Client(TcpStream);
+
+impl Client {
+    pub fn new(to: SocketAddr) -> Client {
+        let stream = TcpStream::connect(to).expect("connect");
+        stream.set_read_timeout(Some(SOON)).expect("time-out");
+        Client(stream)
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.0.write_all(bytes).expect("write");
+    }
+
+    /// One line of an answer, or what came before the end.
+    pub fn line(&mut self) -> String {
+        let (mut line, mut byte) = (Vec::new(), [0u8; 1]);
+        while !line.ends_with(b"\r\n") {
+            match self.0.read(&mut byte) {
+                Ok(1) => line.push(byte[0]),
+                Ok(_) => return format!("{}<end>", String::from_utf8_lossy(&line)),
+                Err(e) => return format!("{}<{:?}>", String::from_utf8_lossy(&line), e.kind()),
+            }
+        }
+        String::from_utf8_lossy(&line).trim_end().to_owned()
+    }
+
+    pub fn put(&mut self, id: &str, names: &str, body: &[u8]) -> String {
+        self.send(&put(id, names, body));
+        self.line()
+    }
+}
+
+pub fn put(id: &str, names: &str, body: &[u8]) -> Vec<u8> {
+    let mut bytes = b"*5\r\n".to_vec();
+    for word in [b"MSG.PUT" as &[u8], b"0000000000000000", id.as_bytes(), names.as_bytes(), body] {
+        bytes.extend_from_slice(format!("${}\r\n", word.len()).as_bytes());
+        bytes.extend_from_slice(word);
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes
+}
+
+/// A request as the transcript shows it: what differs from run to run is left out.
+pub fn shown(request: &http::Request) -> String {
+    let mut text = format!("{} {}\n", request.method, request.path);
+    for (name, value) in &request.headers {
+        let value = String::from_utf8_lossy(value);
+        let value = match name.as_str() {
+            "Host" => "#".into(),
+            "X-Remaining" => format!("#{}", value.trim_start_matches(|c: char| c.is_ascii_digit())),
+            _ => value.into_owned(),
+        };
+        text.push_str(&format!("{name}: {value}\n"));
+    }
+    format!("{text}\n{}\n", String::from_utf8_lossy(&request.body))
+}
--- /dev/null
+++ b/crates/cranehill/tests/core.rs
@@ -0,0 +1,333 @@
+//! The reducer, with the clock as an input.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cranehill::core::*;
+use tansycroft::Time;
+use tansycroft::api::{Condition, DestId, EndpointId, Entry, Status};
+
+struct Bench {
+    core: Core,
+    ms: u64,
+}
+
+const START: u64 = 1_000_000_000_000;
+
+fn listing(endpoint: &str, condition: Condition, kind: usize) -> Listing {
+    let endpoint = EndpointId(endpoint.into());
+    let entry = Entry { endpoint, dest: DestId(7), condition, zone: 0, kind, rate: 0.0 };
+    Listing { entry, address: "127.0.0.1:1".into() }
+}
+
+fn notice(id: &str, left_ms: u64) -> Notice {
+    Notice {
+        id: id.into(),
+        class: 0,
+        station: 0,
+        partner: 7,
+        key: None,
+        body: Arc::from(&b"body"[..]),
+        left: Duration::from_millis(left_ms),
+        spent: 0,
+        envelope: None,
+        from: Origin::Client(1),
+    }
+}
+
+fn end(id: &str, attempt: u32, status: Status) -> AttemptEnd {
+    let over = status == Status::Served;
+    let took = Duration::from_millis(20);
+    AttemptEnd { id: id.into(), attempt, status, over, took, told_wait: None, report: None }
+}
+
+impl Bench {
+    /// Endpoint `a` of kind 0 takes five in a call, of kind 1 one.
+    fn new(kind: usize) -> Bench {
+        let known = common::list(1, &[]);
+        let site = common::config(&known, "127.0.0.1:1".parse().expect("an address")).site;
+        let core = Core::new(site.settings, 1, Time(START)).expect("settings");
+        let mut bench = Bench { core, ms: 0 };
+        let list = vec![listing("a", Condition::Ready, kind)];
+        bench.step(Input::Listed { whole: true, list });
+        bench.turn(0);
+        bench
+    }
+
+    fn step(&mut self, input: Input) -> Vec<Effect> {
+        self.core.step(Time(START + self.ms * 1_000_000), input)
+    }
+
+    /// A whole turn with a ledger that works: what was kept, and what followed.
+    fn turn(&mut self, ms: u64) -> (Vec<Record>, Vec<Effect>) {
+        self.ms = ms;
+        self.turn_with(true)
+    }
+
+    fn turn_with(&mut self, kept: bool) -> (Vec<Record>, Vec<Effect>) {
+        let mut effects = self.step(Input::TurnOver);
+        match effects.pop() {
+            Some(Effect::Keep(records)) => {
+                assert!(effects.is_empty(), "nothing goes before the ledger has it");
+                (records, self.step(Input::Kept(kept)))
+            }
+            last => (Vec::new(), effects.into_iter().chain(last).collect()),
+        }
+    }
+}
+
+fn calls(effects: &[Effect]) -> Vec<Vec<String>> {
+    let call = |e: &Effect| match e {
+        Effect::Call { attempts, .. } => Some(attempts.iter().map(|a| a.id.clone()).collect()),
+        _ => None,
+    };
+    effects.iter().filter_map(call).collect()
+}
+
+fn answers(effects: &[Effect]) -> Vec<(String, Answer)> {
+    let answer = |e: &Effect| match e {
+        Effect::Answer { id, answer, .. } => Some((id.clone(), *answer)),
+        _ => None,
+    };
+    effects.iter().filter_map(answer).collect()
+}
+
+fn reports(effects: &[Effect]) -> Vec<(String, Closing)> {
+    let report = |e: &Effect| match e {
+        Effect::Report { id, closing } => Some((id.clone(), *closing)),
+        _ => None,
+    };
+    effects.iter().filter_map(report).collect()
+}
+
+#[test]
+fn a_notice_and_its_attempt_are_kept_before_the_answer_and_the_call() {
+    let mut b = Bench::new(1);
+    b.step(Input::Handed(notice("m", 8000)));
+    let (records, effects) = b.turn(5);
+    assert!(matches!(&records[..], [Record::Taken { .. }, Record::Sent { attempt: 0, .. }]), "{records:?}");
+    // The client is told before the call goes: a delivery that it does not know of counts for nothing.
+    assert!(matches!(effects[0], Effect::Answer { answer: Answer::TakenOn, .. }), "{effects:?}");
+    assert_eq!(calls(&effects), [["m"]]);
+    b.ms = 50;
+    b.step(Input::Ended(vec![end("m", 0, Status::Served)]));
+    let (records, effects) = b.turn(50);
+    assert_eq!(records, [Record::Over { id: "m".into() }]);
+    assert!(answers(&effects).is_empty() && reports(&effects).is_empty());
+    assert_eq!(b.core.owed(), (0, 0));
+}
+
+#[test]
+fn what_the_ledger_cannot_take_is_refused_and_not_sent() {
+    let mut b = Bench::new(1);
+    b.step(Input::Handed(notice("m", 8000)));
+    b.ms = 5;
+    let (_, effects) = b.turn_with(false);
+    assert!(matches!(&answers(&effects)[..], [(id, Answer::Refused { after: Some(_) })] if id == "m"));
+    assert!(calls(&effects).is_empty());
+    let (records, effects) = b.turn(500);
+    assert!(records.is_empty() && calls(&effects).is_empty() && b.core.owed() == (0, 0));
+}
+
+#[test]
+fn a_full_ledger_spends_no_partner_on_attempts_it_could_not_remember() {
+    let mut b = Bench::new(1);
+    b.step(Input::Listed { whole: false, list: vec![listing("a", Condition::Draining, 1)] });
+    b.step(Input::Handed(notice("m", 8000)));
+    b.turn(5);
+    b.step(Input::Listed { whole: false, list: vec![listing("a", Condition::Ready, 1)] });
+    b.ms = 10;
+    let (records, effects) = b.turn_with(false);
+    assert!(matches!(&records[..], [Record::Sent { .. }]));
+    assert!(calls(&effects).is_empty());
+    b.turn(15);
+    let (_, effects) = b.turn(1000);
+    assert_eq!(calls(&effects), [["m"]], "it is tried again once there is room");
+}
+
+#[test]
+fn more_than_may_be_held_is_refused_at_the_door() {
+    let mut b = Bench::new(1);
+    b.step(Input::Listed { whole: true, list: vec![] });
+    for n in 0..80 {
+        b.step(Input::Handed(notice(&format!("m{n:02}"), 8000)));
+    }
+    let (records, effects) = b.turn(5);
+    let refused =
+        answers(&effects).iter().filter(|a| matches!(a.1, Answer::Refused { after: Some(_) })).count();
+    let taken = answers(&effects).iter().filter(|a| a.1 == Answer::TakenOn).count();
+    assert_eq!((refused + taken, records.len()), (80, taken));
+    assert!(taken <= 64 && reports(&effects).is_empty());
+}
+
+#[test]
+fn one_turn_to_one_endpoint_is_one_call_as_far_as_its_kind_allows() {
+    for (kind, expected) in [(0, vec![5, 2]), (1, vec![1; 4])] {
+        let mut b = Bench::new(kind);
+        for n in 0..7 {
+            b.step(Input::Handed(notice(&format!("m{n}"), 8000)));
+        }
+        let (_, effects) = b.turn(5);
+        assert_eq!(calls(&effects).iter().map(Vec::len).collect::<Vec<_>>(), expected);
+    }
+}
+
+#[test]
+fn a_told_wait_holds_back_what_is_not_written_and_all_new_calls() {
+    let mut b = Bench::new(1);
+    b.step(Input::Handed(notice("m", 8000)));
+    b.turn(5);
+    b.ms = 30;
+    let told = AttemptEnd { told_wait: Some(Duration::from_millis(700)), ..end("m", 0, Status::Refused) };
+    let effects = b.step(Input::Ended(vec![told]));
+    assert!(
+        matches!(&effects[..], [Effect::HoldBack { endpoints }] if endpoints == &[EndpointId("a".into())])
+    );
+    b.turn(30);
+    b.step(Input::Handed(notice("n", 8000)));
+    for ms in (35..730).step_by(5) {
+        b.ms = ms;
+        b.step(Input::Due);
+        assert!(calls(&b.turn(ms).1).is_empty(), "at {ms} ms");
+    }
+    let sent = (730..5000).step_by(5).any(|ms| {
+        b.ms = ms;
+        b.step(Input::Due);
+        !calls(&b.turn(ms).1).is_empty()
+    });
+    assert!(sent);
+}
+
+#[test]
+fn an_endpoint_that_drains_or_leaves_the_list_is_held_back() {
+    let mut b = Bench::new(1);
+    let list = vec![listing("a", Condition::Draining, 1)];
+    let effects = b.step(Input::Listed { whole: false, list });
+    assert!(matches!(&effects[..], [Effect::HoldBack { endpoints }] if endpoints.len() == 1));
+    let effects = b.step(Input::Listed { whole: true, list: vec![listing("b", Condition::Ready, 1)] });
+    assert!(
+        matches!(&effects[..], [Effect::HoldBack { endpoints }] if endpoints == &[EndpointId("a".into())])
+    );
+}
+
+#[test]
+fn a_notice_given_up_is_reported_at_once_with_when_to_come_back_until_the_platform_has_it() {
+    let mut b = Bench::new(1);
+    b.step(Input::Listed { whole: true, list: vec![] });
+    b.step(Input::Handed(notice("m", 1000)));
+    b.turn(5);
+    let mut reported = Vec::new();
+    for ms in (10..1000).step_by(5) {
+        b.ms = ms;
+        b.step(Input::Due);
+        let (records, effects) = b.turn(ms);
+        if let [(_, Closing::Returned { after_ms })] = reports(&effects)[..] {
+            assert!(after_ms > 0 && matches!(records[..], [Record::Closing { .. }]));
+            reported.push(ms);
+        }
+    }
+    assert_eq!(reported.len(), 1, "one report, before its time is out: {reported:?}");
+    assert_eq!(b.core.owed(), (0, 1));
+    b.step(Input::Reported(vec!["m".into()]));
+    assert_eq!(b.turn(1100).0, [Record::Over { id: "m".into() }]);
+    assert_eq!(b.core.owed(), (0, 0));
+}
+
+#[test]
+fn a_restart_knows_attempts_used_time_left_and_reports_due() {
+    let mut b = Bench::new(1);
+    let taken = |id: &str, left_ms: u64| Record::Taken {
+        id: id.into(),
+        class: 0,
+        station: 0,
+        partner: 7,
+        key: Some("k".into()),
+        deadline: START + left_ms * 1_000_000,
+        body: Arc::from(&b"body"[..]),
+    };
+    let sent = |id: &str, attempt| Record::Sent { id: id.into(), attempt, endpoint: "a".into(), at: START };
+    let back = |id: &str, attempt| Record::Back { id: id.into(), attempt, never_ran: true };
+    let mut records = vec![taken("fresh", 9000), taken("late", 0), taken("over", 9000), taken("used", 9000)];
+    records.extend((0..6).flat_map(|n| [sent("used", n), back("used", n)]));
+    records.extend([sent("fresh", 0), back("fresh", 0), Record::Over { id: "over".into() }]);
+    records.push(Record::Closing { id: "due".into(), closing: Closing::Failed });
+    let effects = b.step(Input::Recovered(records));
+    assert_eq!(reports(&effects), [("due".into(), Closing::Failed)]);
+    let snapshot = b.core.snapshot();
+    let (kept, effects) = b.turn(5);
+    assert_eq!(calls(&effects), [["fresh"]]);
+    let numbers: Vec<u32> = effects
+        .iter()
+        .filter_map(|e| if let Effect::Call { attempts, .. } = e { Some(attempts[0].number) } else { None })
+        .collect();
+    assert_eq!(numbers, [1], "attempts used before count");
+    assert!(kept.iter().any(|r| matches!(r, Record::Sent { attempt: 1, .. })));
+    let mut ended: Vec<String> = reports(&effects).into_iter().map(|r| r.0).collect();
+    ended.sort();
+    assert_eq!(ended, ["late", "used"], "out of time, and out of attempts");
+    // What a rewritten ledger says is the same.
+    let mut again = Bench::new(1);
+    again.step(Input::Recovered(snapshot.clone()));
+    assert_eq!(again.core.snapshot(), snapshot);
+}
+
+#[test]
+fn a_first_attempt_that_may_have_run_keeps_its_age_over_a_restart() {
+    // Keyed repeats are dropped for 20 s: a first send 19.9 s ago leaves no time for another.
+    for (ago_ms, may_go) in [(19_900u64, true), (20_100, false)] {
+        let mut b = Bench::new(1);
+        b.ms = 30_000;
+        let records = vec![
+            Record::Taken {
+                id: "m".into(),
+                class: 0,
+                station: 0,
+                partner: 7,
+                key: Some("k".into()),
+                deadline: START + 35_000 * 1_000_000,
+                body: Arc::from(&b"body"[..]),
+            },
+            Record::Sent {
+                id: "m".into(),
+                attempt: 0,
+                endpoint: "a".into(),
+                at: START + (30_000 - ago_ms) * 1_000_000,
+            },
+        ];
+        b.step(Input::Recovered(records));
+        let (_, effects) = b.turn(30_000);
+        assert_eq!(!calls(&effects).is_empty(), may_go, "{ago_ms} ms ago");
+        assert_eq!(reports(&effects).is_empty(), may_go, "one that may not go is closed at once");
+    }
+}
+
+#[test]
+fn the_end_of_the_process_starts_nothing_new_and_still_hears_of_ends() {
+    let mut b = Bench::new(1);
+    b.step(Input::Handed(notice("m", 8000)));
+    b.turn(5);
+    b.step(Input::Stopping);
+    b.step(Input::Handed(notice("n", 8000)));
+    let (_, effects) = b.turn(10);
+    assert_eq!((calls(&effects).len(), answers(&effects).len()), (0, 1));
+    b.ms = 20;
+    b.step(Input::Ended(vec![end("m", 0, Status::Served)]));
+    assert_eq!(b.turn(20).0, [Record::Over { id: "m".into() }]);
+}
+
+#[test]
+fn a_message_withdrawn_while_its_attempt_is_out_is_over_for_good() {
+    let mut b = Bench::new(1);
+    b.step(Input::Handed(Notice { from: Origin::Waiting(3), ..notice("m", 8000) }));
+    let (records, effects) = b.turn(5);
+    assert!(records.is_empty(), "whoever waits was promised nothing: {records:?}");
+    assert_eq!((calls(&effects).len(), answers(&effects).len()), (1, 0));
+    b.step(Input::Withdrawn("m".into()));
+    b.turn(10);
+    b.ms = 60;
+    b.step(Input::Ended(vec![end("m", 0, Status::Error)]));
+    let (records, effects) = b.turn(60);
+    assert!(records.is_empty() && calls(&effects).is_empty() && answers(&effects).is_empty());
+}
--- /dev/null
+++ b/crates/cranehill/tests/restart.rs
@@ -0,0 +1,196 @@
+//! What was taken on outlasts its process: the program itself, killed and ended, and started again.
+
+mod common;
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+
+use common::*;
+use cranehill::rehearsal::{Reply, StandIn};
+
+struct Process {
+    child: Child,
+    clients: SocketAddr,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Process {
+    fn signal(&self, name: &str) {
+        let status = Command::new("kill").args([name, &self.child.id().to_string()]).status().expect("kill");
+        assert!(status.success());
+    }
+}
+
+fn folder(name: &str) -> PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).expect("a folder");
+    folder
+}
+
+fn spawn(folder: &Path, known: &str, platform: &StandIn) -> Process {
+    let config = folder.join("config.json");
+    std::fs::write(&config, config_text(known)).expect("configuration");
+    let mut child = Command::new(env!("CARGO_BIN_EXE_cranehill"))
+        .arg("serve")
+        .env("NODE_CONFIG", &config)
+        .env("NODE_NAME", "n0")
+        .env("NODE_LISTEN", "127.0.0.1:0")
+        .env("NODE_DISCOVERY", platform.address.to_string())
+        .env("NODE_STATE", folder.join("state"))
+        .env("RUST_LOG", "info")
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    let mut log = BufReader::new(child.stderr.take().expect("its log")).lines();
+    let clients = loop {
+        let line = log.next().expect("it says where it listens").expect("text");
+        if let Some((_, address)) = line.split_once("listening for clients at ") {
+            break address.parse().expect("an address");
+        }
+    };
+    // The pipe must not fill.
+    std::thread::spawn(move || log.for_each(drop));
+    Process { child, clients }
+}
+
+/// A partner that is silent until it is opened.
+fn partner() -> (StandIn, Arc<AtomicBool>) {
+    let open = Arc::new(AtomicBool::new(false));
+    let is_open = open.clone();
+    let answer =
+        move |_: &_, _| if is_open.load(Ordering::Relaxed) { Reply::status(200) } else { Reply::Silent };
+    (StandIn::new(answer).expect("partner"), open)
+}
+
+const NAMES: &str = "c=episode-notice,t=onda-central,d=20000,k=5c0f,dest=7";
+
+fn bodies(partner: &StandIn) -> Vec<Vec<u8>> {
+    partner.seen().into_iter().map(|s| s.request.body).collect()
+}
+
+#[test]
+fn a_notice_taken_on_is_delivered_after_a_kill() {
+    let folder = folder("kill");
+    let (partner, open) = partner();
+    let platform = platform();
+    let known = list(1, &[("a", partner.address, 7, "station")]);
+    let mut first = spawn(&folder, &known, &platform);
+    assert_eq!(Client::new(first.clients).put("m1", NAMES, b"one\r\n\0two"), "+OK");
+    assert!(partner.wait_for(1, SOON));
+    first.child.kill().expect("killed");
+    first.child.wait().expect("gone");
+    open.store(true, Ordering::Relaxed);
+    let _second = spawn(&folder, &known, &platform);
+    assert!(partner.wait_for(2, SOON), "the notice is sent again");
+    assert_eq!(bodies(&partner), [b"one\r\n\0two", b"one\r\n\0two"]);
+}
+
+#[test]
+fn a_notice_whose_partner_is_not_listed_is_closed_after_a_kill_and_reported_until_taken() {
+    let folder = folder("closing");
+    // The platform takes the report at the second try only.
+    let tries = AtomicUsize::new(0);
+    let platform = StandIn::new(move |request, _| match request.method.as_str() {
+        "GET" => Reply::Silent,
+        _ if tries.fetch_add(1, Ordering::Relaxed) == 0 => Reply::status(500),
+        _ => Reply::status(204),
+    })
+    .expect("platform");
+    let known = list(1, &[]);
+    let mut first = spawn(&folder, &known, &platform);
+    let names = "c=episode-notice,d=700,k=5c0f,dest=7";
+    assert_eq!(Client::new(first.clients).put("m1", names, b"x"), "+OK");
+    first.child.kill().expect("killed");
+    first.child.wait().expect("gone");
+    let _second = spawn(&folder, &known, &platform);
+    let reports = |s: &StandIn| {
+        let posts = s.seen().into_iter().filter(|s| s.request.method == "POST");
+        posts.map(|s| String::from_utf8_lossy(&s.request.body).into_owned()).collect::<Vec<_>>()
+    };
+    let end = std::time::Instant::now() + SOON;
+    while reports(&platform).len() < 2 && std::time::Instant::now() < end {
+        std::thread::sleep(std::time::Duration::from_millis(5));
+    }
+    let reports = reports(&platform);
+    assert!(reports.len() >= 2, "{reports:?}");
+    assert!(reports.iter().all(|r| r.contains(r#""id":"m1""#) && r.contains(r#""state":"returned""#)));
+    assert!(reports[0].contains(r#""after_ms":"#), "it tells when to come back: {reports:?}");
+}
+
+#[test]
+fn a_sigterm_still_serves_and_ends_by_itself_with_the_rest_in_the_ledger() {
+    let folder = folder("term");
+    let (partner, open) = partner();
+    let platform = platform();
+    let known = list(1, &[("a", partner.address, 7, "station")]);
+    let mut first = spawn(&folder, &known, &platform);
+    let mut client = Client::new(first.clients);
+    assert_eq!(client.put("m1", NAMES, b"one"), "+OK");
+    // A request that has begun is answered, whenever its rest comes.
+    let mut late = Client::new(first.clients);
+    let request = put("m2", NAMES, b"two");
+    late.send(&request[..40]);
+    assert_eq!(client.put("m1", NAMES, b"one"), "+OK", "the same notice again is no new one");
+    first.signal("-TERM");
+    late.send(&request[40..]);
+    assert_eq!(late.line(), "+OK");
+    assert!(first.child.wait().expect("it ends").success());
+    open.store(true, Ordering::Relaxed);
+    let seen = partner.seen().len();
+    let _second = spawn(&folder, &known, &platform);
+    assert!(partner.wait_for(seen + 2, SOON), "both are delivered by the next life");
+    let mut after = bodies(&partner)[seen..].to_vec();
+    after.sort();
+    assert_eq!(after, [b"one", b"two"]);
+}
+
+#[test]
+fn a_torn_last_record_is_dropped_and_the_rest_kept() {
+    let folder = folder("torn");
+    let (partner, open) = partner();
+    let platform = platform();
+    let known = list(1, &[("a", partner.address, 7, "station")]);
+    let mut first = spawn(&folder, &known, &platform);
+    assert_eq!(Client::new(first.clients).put("m1", NAMES, b"one"), "+OK");
+    first.child.kill().expect("killed");
+    first.child.wait().expect("gone");
+    let ledger = folder.join("state/ledger");
+    let mut bytes = std::fs::read(&ledger).expect("a ledger");
+    bytes.extend_from_slice(&[90, 0, 0, 0, 1, 2, 3, 4, b'{', b'"']);
+    std::fs::write(&ledger, bytes).expect("written");
+    open.store(true, Ordering::Relaxed);
+    let before = partner.seen().len();
+    let _second = spawn(&folder, &known, &platform);
+    assert!(partner.wait_for(before + 1, SOON));
+}
+
+#[test]
+fn bad_configuration_is_one_line_and_exit_code_2() {
+    let folder = folder("bad");
+    let config = folder.join("config.json");
+    for text in ["", "{", "{}", r#"{"settings":{}}"#, &config_text("{\"version\":1}")] {
+        std::fs::write(&config, text).expect("written");
+        let out = Command::new(env!("CARGO_BIN_EXE_cranehill"))
+            .arg("serve")
+            .env("NODE_CONFIG", &config)
+            .env("NODE_LISTEN", "127.0.0.1:0")
+            .env("NODE_DISCOVERY", "127.0.0.1:1")
+            .env("NODE_STATE", folder.join("state"))
+            .output()
+            .expect("it runs");
+        let err = String::from_utf8_lossy(&out.stderr).into_owned();
+        assert_eq!(out.status.code(), Some(2), "{err}");
+        assert_eq!(err.lines().count(), 1, "{err}");
+    }
+}
