Guard the ledger's swap and torn writes, second watches and calls too large to share

The connection is closed now. - reactor, Effect::Keep: when the ledger could not be written the core had ended attempts, but no turn was due, so their notices waited for the next event. - ledger::rewrite renamed before it opened the new file: a failed open would have left us appending to a file that is gone. ledger::append: part of a frame left by a failed write hid all later records. - core::on_send: five notices of 64 KiB made one call of 437 KB, over the 64 KiB that a body may hold.

--- a/crates/cranehill/src/core.rs
+++ b/crates/cranehill/src/core.rs
@@ -16,6 +16,10 @@
 };
 use tansycroft::{Sender, SettingsError, Time};
 
+/// The largest body of a call with several notices, and what each adds besides its own body and key.
+const CALL_MOST: usize = 64 * 1024;
+const ITEM: usize = 128;
+
 /// What a front passes along with a notice and the core does not look into.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Envelope {
@@ -535,7 +539,11 @@
         sent.push(Record::Sent { id, attempt: number, endpoint: endpoint.0.clone(), at: self.now.0 });
         // What one turn sends to one endpoint travels together, as far as its kind allows.
         let most = self.set.kinds.get(partner.endpoint.kind).map_or(1, |k| k.per_call.max(1)) as usize;
-        match calls.iter_mut().find(|c| c.0 == endpoint && c.2.len() < most) {
+        // A call's body is bounded like any other: large notices must not share one.
+        let size = |a: &Attempt| a.body.len() * 4 / 3 + a.key.as_ref().map_or(0, String::len) + ITEM;
+        let fits =
+            |c: &[Attempt]| c.len() < most && c.iter().map(size).sum::<usize>() + size(&attempt) <= CALL_MOST;
+        match calls.iter_mut().find(|c| c.0 == endpoint && fits(&c.2)) {
             Some(call) => call.2.push(attempt),
             None => calls.push((endpoint, partner.address.clone(), vec![attempt])),
         }
--- a/crates/cranehill/src/ledger.rs
+++ b/crates/cranehill/src/ledger.rs
@@ -22,6 +22,8 @@
     dir: PathBuf,
     file: File,
     size: u64,
+    /// A failed write may have left part of a frame behind `size`.
+    torn: bool,
     /// Rewritten once larger than this.
     rewrite_at: u64,
     /// Never larger than this, so that both files fit while swapping.
@@ -49,8 +51,14 @@
         }
         let file = OpenOptions::new().create(true).append(true).open(&path)?;
         file.set_len(good as u64)?;
-        let ledger =
-            Ledger { dir: dir.to_owned(), file, size: good as u64, rewrite_at: disk / 4, most: disk * 2 / 5 };
+        let ledger = Ledger {
+            dir: dir.to_owned(),
+            file,
+            size: good as u64,
+            torn: false,
+            rewrite_at: disk / 4,
+            most: disk * 2 / 5,
+        };
         Ok((ledger, records))
     }
 
@@ -64,9 +72,13 @@
                 "the ledger's share of the folder is used",
             ));
         }
-        if let Err(e) = self.file.write_all(&bytes) {
-            // A part of a frame would hide all later ones.
+        // A part of a frame would hide all that is written after it.
+        if self.torn {
             self.file.set_len(self.size)?;
+            self.torn = false;
+        }
+        if let Err(e) = self.file.write_all(&bytes) {
+            self.torn = self.file.set_len(self.size).is_err();
             return Err(e);
         }
         self.size += bytes.len() as u64;
@@ -88,12 +100,22 @@
         let mut bytes = Vec::new();
         records.iter().for_each(|r| encode(r, &mut bytes));
         let swap = self.dir.join(SWAP);
-        let written = fs::write(&swap, &bytes).and_then(|()| fs::rename(&swap, self.dir.join(NAME)));
-        if let Err(e) = written {
-            let _ = fs::remove_file(&swap);
-            return Err(e);
+        // Opened before it is renamed: after the rename nothing may fail, or we would go on writing to a file
+        // that is no longer there.
+        let written = OpenOptions::new().create(true).append(true).open(&swap).and_then(|mut file| {
+            file.set_len(0)?;
+            file.write_all(&bytes)?;
+            fs::rename(&swap, self.dir.join(NAME))?;
+            Ok(file)
+        });
+        match written {
+            Ok(file) => self.file = file,
+            Err(e) => {
+                let _ = fs::remove_file(&swap);
+                return Err(e);
+            }
         }
-        self.file = OpenOptions::new().append(true).open(self.dir.join(NAME))?;
+        self.torn = false;
         self.size = bytes.len() as u64;
         // What is owed may itself be much: no rewriting at every record then.
         self.rewrite_at = (self.most * 5 / 8).max(self.size + self.most / 8).min(self.most * 9 / 10);
--- a/crates/cranehill/src/reactor.rs
+++ b/crates/cranehill/src/reactor.rs
@@ -431,6 +431,8 @@
                             false
                         }
                     };
+                    // What could not be kept has ended in the core: another turn must take that in.
+                    self.dirty |= !kept;
                     let effects = self.core.step(self.clock.now(), Input::Kept(kept));
                     self.carry_out(effects);
                     if self.ledger.as_ref().is_some_and(Ledger::wants_rewrite) {
@@ -914,17 +916,21 @@
         match http::response(&link.input, ended) {
             Ok(Some((response, used))) => {
                 link.input.drain(..used);
-                let reuse = !response.close && !ended;
+                // A watch that was answered with anything but a list is asked anew on a new connection, later:
+                // the old one must not stay behind as a second watch.
+                let refused = watching && response.status != 200;
+                let reuse = !response.close && !ended && !refused;
                 if !reuse {
                     self.drop_link(id);
                 }
                 if watching {
                     self.on_list(&response);
                     // The next watch goes at once: within 200 ms it continues this one.
-                    if reuse && self.watch_at.is_none() {
-                        self.watch(Some(id));
-                    } else if !reuse {
-                        self.watch_at = Some(self.clock.now());
+                    match (reuse, self.watch_at) {
+                        (true, None) => self.watch(Some(id)),
+                        (true, Some(_)) => drop(self.drop_link(id)),
+                        (false, None) => self.watch_at = Some(self.clock.now()),
+                        (false, Some(_)) => {}
                     }
                 } else {
                     let told = self.reports.answered(response.status);
--- a/crates/cranehill/tests/core.rs
+++ b/crates/cranehill/tests/core.rs
@@ -174,6 +174,17 @@
     }
 }
 
+#[test]
+fn large_notices_do_not_share_a_call_whose_body_would_be_too_large() {
+    let mut b = Bench::new(0);
+    for n in 0..3 {
+        let body = Arc::from(vec![7u8; 20_000]);
+        b.step(Input::Handed(Notice { body, ..notice(&format!("m{n}"), 8000) }));
+    }
+    let (_, effects) = b.turn(5);
+    assert_eq!(calls(&effects).iter().map(Vec::len).collect::<Vec<_>>(), [2, 1]);
+}
+
 #[test]
 fn a_told_wait_holds_back_what_is_not_written_and_all_new_calls() {
     let mut b = Bench::new(1);
--- /dev/null
+++ b/crates/cranehill/tests/parsers.rs
@@ -0,0 +1,240 @@
+//! The parsers: whole, in pieces, and wrong.
+
+mod common;
+
+use std::time::Duration;
+
+use cranehill::clients::{self, Request};
+use cranehill::http::{self, Response};
+use cranehill::partners::{self, Verdict};
+use cranehill::{config, directory, nginx, rehearsal, webpush};
+use tansycroft::api::{Condition, Status};
+
+#[test]
+fn a_request_is_the_same_in_one_piece_and_in_any_two() {
+    let bytes =
+        [common::put("m1", "c=episode-notice,dest=7", b"any\r\nbytes\0"), b"*1\r\n$4\r\nping\r\n".to_vec()];
+    let (first, used) = clients::parse(&bytes.concat()).expect("valid").expect("whole");
+    assert_eq!(used, bytes[0].len());
+    assert!(matches!(&first, Request::Put { id, body, .. } if id == "m1" && body == b"any\r\nbytes\0"));
+    assert_eq!(clients::parse(&bytes[1]), Ok(Some((Request::Ping, bytes[1].len()))));
+    for cut in 0..bytes[0].len() {
+        assert_eq!(clients::parse(&bytes[0][..cut]), Ok(None), "cut at {cut}");
+    }
+}
+
+#[test]
+fn what_is_no_request_is_an_error_and_never_waited_for() {
+    for bad in [
+        "PING\r\n",
+        "*x\r\n",
+        "*-1\r\n",
+        "*99\r\n",
+        "*1\n",
+        "*1\r\n+OK\r\n",
+        "*1\r\n$99999\r\n",
+        "*1\r\n$4\r\nPINGxx",
+        "*00000000000000000000000000000000001",
+        "*1\r\n$-1\r\n",
+    ] {
+        assert!(clients::parse(bad.as_bytes()).is_err(), "{bad:?}");
+    }
+    // A body of 64 KiB is taken, one byte more is not.
+    let of = |len: usize| common::put("m", "c=episode-notice,dest=7", &vec![b'x'; len]);
+    assert!(matches!(clients::parse(&of(65536)), Ok(Some(_))));
+    assert!(clients::parse(&of(65537)).is_err());
+}
+
+#[test]
+fn a_notices_names_are_read_and_checked() {
+    let site = common::config(&common::list(1, &[]), "127.0.0.1:1".parse().expect("an address")).site;
+    let read = |names: &str| clients::notice(&site, 1, "m".into(), names, Vec::new());
+    let notice = read("c=episode-notice,t=onda-central,d=8000,k=5c0f,dest=7,r=1,new=thing").expect("valid");
+    assert_eq!(
+        (notice.partner, notice.left, notice.key.as_deref()),
+        (7, Duration::from_secs(8), Some("5c0f"))
+    );
+    for bad in [
+        "",
+        "c=episode-notice",
+        "dest=7",
+        "c=x,dest=7",
+        "c=episode-notice,dest=x",
+        "c=episode-notice,dest=7,t=x",
+        "c=episode-notice,dest=7,d=-1",
+        "c=episode-notice,dest=7,k=a\r\nX: y",
+        "c=episode-notice,dest",
+    ] {
+        assert!(read(bad).is_err(), "{bad:?}");
+    }
+}
+
+fn response(text: &str) -> Response {
+    http::response(text.as_bytes(), true).expect("valid").expect("whole").0
+}
+
+#[test]
+fn answers_are_read_by_length_by_chunks_and_to_the_end() {
+    let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n";
+    for cut in 0..chunked.len() {
+        assert_eq!(http::response(&chunked.as_bytes()[..cut], false), Ok(None), "cut at {cut}");
+    }
+    assert_eq!(response(chunked).body, b"abcde");
+    let open = "HTTP/1.1 200 OK\r\n\r\nabc";
+    assert_eq!(http::response(open.as_bytes(), false), Ok(None));
+    assert_eq!((response(open).body.as_slice(), response(open).close), (&b"abc"[..], true));
+    assert_eq!(response("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No\r\n\r\n").status, 204);
+    for bad in [
+        "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\nContent-Length: +1\r\n\r\na",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\n",
+        "hello\r\n\r\n",
+    ] {
+        assert!(http::response(bad.as_bytes(), false).is_err(), "{bad:?}");
+    }
+    assert!(http::response(&vec![b'a'; 20_000], false).is_err());
+}
+
+#[test]
+fn a_partners_answer_tells_of_each_notice_of_the_wait_and_of_the_limit() {
+    let told = |text: &str, ids: &[&str]| partners::read(&response(text), ids, Duration::ZERO);
+    let one = |text: &str| told(text, &["a"]).verdicts[0];
+    assert_eq!(one("HTTP/1.1 200 OK\r\n\r\n"), Verdict { status: Status::Served, over: true });
+    assert_eq!(one("HTTP/1.1 500 E\r\n\r\n").status, Status::Error);
+    assert_eq!(one("HTTP/1.1 503 F\r\n\r\n").status, Status::Refused);
+    assert_eq!(one("HTTP/1.1 503 F\r\nX-No-Slot: 1\r\n\r\n").status, Status::NotSent);
+    assert_eq!(one("HTTP/1.1 504 U\r\n\r\n"), Verdict { status: Status::NotSent, over: false });
+    assert_eq!(one("HTTP/1.1 410 G\r\n\r\n"), Verdict { status: Status::NotSent, over: true });
+    let full = told("HTTP/1.1 429 F\r\nRetry-After: 0.75\r\nX-Pressure: x0=0.4,x1=25\r\n\r\n", &["a", "b"]);
+    assert_eq!(full.verdicts, [Verdict { status: Status::Refused, over: false }; 2]);
+    assert_eq!(full.wait, Some(Duration::from_millis(750)));
+    let limit = full.report.expect("a reading");
+    assert_eq!((limit.left, limit.limit), (0.4, 25.0));
+    let states = r#"[{"id":"b","state":"busy"},{"id":"a","state":"done"},{"id":"c","state":"failed"},{"id":"d","state":"void"},{"id":"e","state":"used_up"}]"#;
+    let mixed =
+        told(&format!("HTTP/1.1 200 OK\r\nRetry-After: 1\r\n\r\n{states}"), &["a", "b", "c", "d", "e", "f"]);
+    let statuses: Vec<(Status, bool)> = mixed.verdicts.iter().map(|v| (v.status, v.over)).collect();
+    assert_eq!(
+        statuses,
+        [
+            (Status::Served, true),
+            (Status::Refused, false),
+            (Status::Error, false),
+            (Status::NotSent, true),
+            (Status::NotSent, false),
+            // Not told of: it may have run.
+            (Status::Error, false),
+        ]
+    );
+    assert_eq!(mixed.wait, Some(Duration::from_secs(1)));
+    for nonsense in ["", "-1", "inf", "nan", "soon"] {
+        assert_eq!(told(&format!("HTTP/1.1 429 F\r\nRetry-After: {nonsense}\r\n\r\n"), &["a"]).wait, None);
+    }
+}
+
+#[test]
+fn the_directorys_list_is_read_by_the_settings_names() {
+    let known = r#"{"version":3,"full":true,"servers":[{"id":"a","addr":"127.0.0.1:1","zone":"z","kind":"station","cell":7,"state":"draining","weight":2.5,"started_ms":0},{"id":"b","addr":"127.0.0.1:2","kind":"new","cell":8,"state":"up"}]}"#;
+    let config = common::config(known, "127.0.0.1:1".parse().expect("an address"));
+    let [a, b] = &config.known[..] else { panic!("{:?}", config.known) };
+    assert_eq!((a.entry.kind, a.entry.condition, a.entry.rate), (1, Condition::Draining, 2.5));
+    assert_eq!((b.entry.condition, b.address.as_str()), (Condition::Ready, "127.0.0.1:2"));
+    let bad = known.replace("draining", "asleep");
+    assert!(config::parse(&common::config_text(&bad), |_| Some("127.0.0.1:1".into())).is_err());
+    assert!(directory::read(&response("HTTP/1.1 503 No\r\n\r\n")).is_err());
+    assert!(directory::read(&response("HTTP/1.1 200 OK\r\n\r\n{}")).is_err());
+}
+
+const NGINX: &str = r#"
+# a comment with { and ;
+http {
+    upstream "app" {
+        server 127.0.0.1:9100;
+        server localhost:9101 down;
+        server 10.0.0.1:80;
+        keepalive 8;
+    }
+    server {
+        location /push/app/ { proxy_pass http://app/wpush/v2/; }
+        location ^~ /raw/ { proxy_pass http://127.0.0.1:9300; proxy_set_header Host $host; }
+        location ~ \.php$ { deny all; }
+        location /none/ { proxy_pass http://elsewhere; }
+        location /tls/ { proxy_pass https://app; }
+    }
+}
+"#;
+
+#[test]
+fn nginx_blocks_become_a_file_that_reads_back_and_the_rest_is_listed_by_line() {
+    let imported = nginx::import(NGINX).expect("valid");
+    let text = toml::to_string(&imported.file).expect("a file");
+    assert_eq!(webpush::parse_file(&text).expect("it reads back"), imported.file);
+    insta::assert_snapshot!(format!("{text}\n{:#?}", imported.left_out));
+}
+
+#[test]
+fn malformed_nginx_names_its_line() {
+    for (bad, line) in [
+        ("upstream a {\n server 127.0.0.1:1;\n", 1),
+        ("\n}", 2),
+        ("upstream a {\n server 127.0.0.1:1\n}", 2),
+        ("\n\nupstream {\n}", 3),
+        ("location {\n}", 1),
+        ("x \"abc\n", 1),
+        ("{", 1),
+        ("upstream a { server 127.0.0.1:1; }\nupstream a { server 127.0.0.1:1; }", 2),
+    ] {
+        let error = nginx::import(bad).expect_err(bad);
+        assert!(error.starts_with(&format!("line {line}:")), "{bad:?}: {error}");
+    }
+    assert!(nginx::import(&"a { ".repeat(10_000)).is_err());
+}
+
+#[test]
+fn a_web_push_file_that_cannot_work_is_refused() {
+    let good = "listen = \"127.0.0.1:1\"\n[[upstream]]\nname = \"a\"\n[[upstream.server]]\naddress = \"127.0.0.1:2\"\n[[location]]\npath = \"/p/\"\nupstream = \"a\"\n";
+    assert!(webpush::parse_file(good).is_ok());
+    for (from, to) in [
+        ("127.0.0.1:1", "10.0.0.1:1"),
+        ("127.0.0.1:2", "192.0.2.1:2"),
+        ("127.0.0.1:2", "there"),
+        ("upstream = \"a\"", "upstream = \"b\""),
+        ("\"/p/\"", "\"p\""),
+        ("listen", "lisen"),
+        ("listen = ", "vapid = { key = \"AAAA\", subject = \"mailto:a@b\" }\nlisten = "),
+    ] {
+        assert!(webpush::parse_file(&good.replace(from, to)).is_err(), "{from} -> {to}");
+    }
+}
+
+#[test]
+fn a_rehearsals_script_names_the_line_that_is_wrong() {
+    for (bad, line) in [
+        ("push a\nexpect b delivered", 2),
+        ("push a\npush a", 2),
+        ("expect a delivered", 1),
+        ("push a\n\nexpect a lost", 3),
+        ("service answers x", 1),
+        ("service answers 99", 1),
+        ("wait soon", 1),
+        ("jump", 1),
+        ("push a colour=red", 1),
+    ] {
+        let error = rehearsal::parse(bad).expect_err(bad);
+        assert!(error.starts_with(&format!("line {line}:")), "{bad:?}: {error}");
+    }
+}
+
+#[test]
+fn a_rehearsal_shows_ends_and_missed_expectations() {
+    let played = |text: &str| rehearsal::play(&rehearsal::parse(text).expect("a script")).expect("played");
+    let good = played(
+        "service answers 410 to=left\npush left\npush here\nexpect left gone\nexpect here delivered attempts 1",
+    );
+    assert_eq!((good.missed, good.lines.len()), (0, 2), "{good:?}");
+    let bad = played("push a\nexpect a gone\nexpect a delivered attempts 2");
+    assert_eq!(bad.missed, 2, "{bad:?}");
+    assert!(bad.lines.iter().all(|l| l.contains("MISSED")));
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,6 +1,8 @@
 //! The six rules, edges included.
 
 mod common;
+use std::time::Duration;
+
 use common::*;
 use tansycroft::api::*;
 use tansycroft::{Sender, Time};
@@ -271,3 +273,57 @@
     let acts = b.at(20, vec![outcome("m", 0, Status::TimedOut, 20)]);
     assert!(sends(&acts).is_empty() && finals(&acts).is_empty());
 }
+
+fn with_past(id: &str, class: usize, attempts: u32, ran_ms_ago: Option<u64>) -> Event {
+    match accept(id, class, None, 9000) {
+        Event::Accept(t) => {
+            let maybe_ran = ran_ms_ago.map(|ms| (Duration::from_millis(ms), EndpointId("a".into())));
+            Event::Accept(Taken { past: Past { attempts, maybe_ran }, ..t })
+        }
+        other => other,
+    }
+}
+
+#[test]
+fn what_an_earlier_life_did_binds_this_one() {
+    // Attempts used up; an unsafe message that may have run; a keyed one inside and outside its window.
+    for (event, sent, ended) in [
+        (with_past("m", 0, 4, None), 0, vec!["refuse m"]),
+        (with_past("m", 0, 3, Some(100)), 1, vec![]),
+        (with_past("m", 2, 1, Some(100)), 0, vec!["fail m"]),
+        (with_past("m", 2, 1, None), 1, vec![]),
+        (with_past("m", 1, 1, Some(4900)), 1, vec![]),
+        (with_past("m", 1, 1, Some(5100)), 0, vec!["refuse m"]),
+    ] {
+        let mut b = one();
+        let acts = b.at(10_000, vec![event.clone()]);
+        assert_eq!(
+            (sends(&acts).len(), finals(&acts)),
+            (sent, ended.iter().map(ToString::to_string).collect()),
+            "{event:?}"
+        );
+    }
+}
+
+#[test]
+fn who_is_gone_is_refused_once_with_no_time_to_come_back_and_no_mark_on_the_destination() {
+    let mut b = one();
+    for n in 0..10u64 {
+        let id = format!("m{n}");
+        let acts = b.at(n * 100, vec![accept(&id, 0, None, 9000)]);
+        assert_eq!(sends(&acts).len(), 1, "the destination is not held to be out");
+        let acts = b.at(n * 100 + 50, vec![outcome(&id, 0, Status::Gone, 50)]);
+        assert_eq!(acts.iter().filter(|a| matches!(a, Action::Refuse { after: None, .. })).count(), 1);
+        assert!(sends(&acts).is_empty());
+    }
+}
+
+#[test]
+fn what_a_destination_will_never_take_fails_at_once() {
+    for class in 0..3 {
+        let mut b = one();
+        b.at(0, vec![accept("m", class, None, 9000)]);
+        let acts = b.at(50, vec![outcome("m", 0, Status::Rejected, 50)]);
+        assert_eq!((finals(&acts), sends(&acts)), (vec!["fail m".to_owned()], vec![]));
+    }
+}
