--- a/crates/cranehill/src/closing.rs
+++ b/crates/cranehill/src/closing.rs
@@ -60,7 +60,13 @@
         }
     }
 
+    /// Whether there is nothing to report and no answer to wait for.
     pub fn idle(&self) -> bool {
         self.out.is_empty() && self.waiting.is_empty()
     }
+
+    /// Whether a call could go now. One that is out needs no looking after but its time-out.
+    pub fn ready(&self) -> bool {
+        self.out.is_empty() && !self.waiting.is_empty()
+    }
 }
--- a/crates/cranehill/src/reactor.rs
+++ b/crates/cranehill/src/reactor.rs
@@ -377,8 +377,8 @@
         }
         self.wakes.first().copied().into_iter().for_each(&mut consider);
         self.watch_at.into_iter().chain(self.accept_again).for_each(&mut consider);
-        if !self.reports.idle() {
-            consider(self.report_at.max(now + Duration::from_millis(1)));
+        if self.reports.ready() {
+            consider(self.report_at);
         }
         for link in self.links.values() {
             self.link_due(link).into_iter().for_each(&mut consider);
@@ -1000,7 +1000,7 @@
     fn send_reports(&mut self) {
         let Some(address) = self.discovery else { return };
         let now = self.clock.now();
-        if self.reports.idle() || now < self.report_at {
+        if !self.reports.ready() || now < self.report_at {
             return;
         }
         let host = address.to_string();
--- a/crates/cranehill/tests/restart.rs
+++ b/crates/cranehill/tests/restart.rs
@@ -8,6 +8,8 @@
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
 
 use common::*;
 use cranehill::rehearsal::{Reply, StandIn};
@@ -15,6 +17,8 @@
 struct Process {
     child: Child,
     clients: SocketAddr,
+    /// Reads the rest of its log.
+    log: Option<JoinHandle<Vec<String>>>,
 }
 
 impl Drop for Process {
@@ -60,8 +64,8 @@
         }
     };
     // The pipe must not fill.
-    std::thread::spawn(move || log.for_each(drop));
-    Process { child, clients }
+    let log = std::thread::spawn(move || log.map_while(Result::ok).collect());
+    Process { child, clients, log: Some(log) }
 }
 
 /// A partner that is silent until it is opened.
@@ -120,7 +124,7 @@
     };
     let end = std::time::Instant::now() + SOON;
     while reports(&platform).len() < 2 && std::time::Instant::now() < end {
-        std::thread::sleep(std::time::Duration::from_millis(5));
+        std::thread::sleep(Duration::from_millis(5));
     }
     let reports = reports(&platform);
     assert!(reports.len() >= 2, "{reports:?}");
@@ -155,6 +159,54 @@
     assert_eq!(after, [b"one", b"two"]);
 }
 
+#[test]
+fn every_notice_taken_on_ends_however_often_the_process_is_killed() {
+    let folder = folder("often");
+    // Slow enough that each kill finds attempts out and notices held; some answers are errors and refusals.
+    let partner = StandIn::new(|_, number| {
+        std::thread::sleep(Duration::from_millis(15));
+        match number % 7 {
+            3 => Reply::status(500),
+            5 => Reply::wait(429, "0.05"),
+            _ => Reply::status(200),
+        }
+    })
+    .expect("partner");
+    let platform = platform();
+    let known = list(1, &[("a", partner.address, 7, "station")]);
+    let mut taken = Vec::new();
+    for life in 0..4 {
+        let mut process = spawn(&folder, &known, &platform);
+        let mut client = Client::new(process.clients);
+        for n in 0..12 {
+            let id = format!("life{life}-{n}");
+            if client.put(&id, NAMES, id.as_bytes()) == "+OK" {
+                taken.push(id);
+            }
+        }
+        process.child.kill().expect("killed");
+        process.child.wait().expect("gone");
+    }
+    assert!(taken.len() >= 24, "{taken:?}");
+    let mut last = spawn(&folder, &known, &platform);
+    let ended = || {
+        let seen: std::collections::BTreeSet<Vec<u8>> = bodies(&partner).into_iter().collect();
+        taken.iter().all(|id| seen.contains(id.as_bytes()))
+    };
+    let until = std::time::Instant::now() + SOON * 2;
+    while !ended() && std::time::Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert!(ended());
+    // It goes on working on what is owed while it ends, and says what it leaves.
+    last.signal("-TERM");
+    assert!(last.child.wait().expect("it ends").success());
+    let log = last.log.take().expect("a log").join().expect("read");
+    let stopped = log.iter().find(|l| l.contains("stopped:")).expect("its last line");
+    assert!(stopped.contains("second_copy: 0, unknown_notice: 0, unlisted_endpoint: 0"), "{stopped}");
+    assert!(stopped.contains(" 0 notices and 0 reports"), "{stopped}");
+}
+
 #[test]
 fn a_torn_last_record_is_dropped_and_the_rest_kept() {
     let folder = folder("torn");
