Test the command line; give the connections a module of their own

The restart and ledger tests take folders of their own: seen by running eight copies of the test programs at once, where fixed folders were shared.

--- a/crates/cranehill/src/lib.rs
+++ b/crates/cranehill/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod directory;
 pub mod http;
 pub mod ledger;
+mod link;
 pub mod nginx;
 pub mod partners;
 pub mod reactor;
--- /dev/null
+++ b/crates/cranehill/src/link.rs
@@ -0,0 +1,130 @@
+//! One connection's bytes, in and out, and the clock.
+
+use std::io::{self, ErrorKind, Read, Write};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use mio::net::TcpStream;
+use tansycroft::Time;
+use tansycroft::api::EndpointId;
+
+use crate::core::Attempt;
+use crate::{clients, http};
+
+/// The most that is read ahead on a connection, but for clients'.
+pub const ANSWER_MOST: usize = http::BODY_MOST + 32 * 1024;
+
+/// A call that is out.
+pub struct Out {
+    pub attempts: Vec<Attempt>,
+    pub ids: Vec<String>,
+    pub started: Time,
+}
+
+pub enum Role {
+    Client {
+        busy: bool,
+    },
+    Pusher {
+        busy: Option<String>,
+        close: bool,
+    },
+    Partner {
+        endpoint: EndpointId,
+        address: String,
+        call: Option<Out>,
+        /// A probe, not a call.
+        check: Option<Time>,
+    },
+    Directory,
+    Closing,
+}
+
+pub struct Link {
+    pub stream: TcpStream,
+    pub role: Role,
+    pub input: Vec<u8>,
+    pub output: Vec<u8>,
+    pub written: usize,
+    pub up: bool,
+    pub ended: bool,
+    /// When something last went over it.
+    pub used: Time,
+    pub close_after: bool,
+}
+
+impl Link {
+    pub fn room(&self) -> usize {
+        match self.role {
+            Role::Client { .. } => clients::REQUEST_MOST,
+            _ => ANSWER_MOST,
+        }
+    }
+
+    /// Reads what there is, within bounds.
+    pub fn fill(&mut self) {
+        let mut chunk = [0u8; 16 * 1024];
+        while !self.ended && self.input.len() < self.room() {
+            match self.stream.read(&mut chunk) {
+                Ok(0) => self.ended = true,
+                Ok(n) => self.input.extend_from_slice(&chunk[..n]),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => self.ended = true,
+            }
+        }
+    }
+
+    /// Writes what is due; false if the connection is broken.
+    pub fn flush(&mut self) -> bool {
+        while self.written < self.output.len() {
+            match self.stream.write(&self.output[self.written..]) {
+                Ok(0) => return false,
+                Ok(n) => self.written += n,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return true,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return false,
+            }
+        }
+        true
+    }
+
+    pub fn written_out(&self) -> bool {
+        self.written == self.output.len()
+    }
+
+    /// Whether the connection came up; an error if it never will.
+    pub fn check_up(&mut self) -> io::Result<bool> {
+        if self.up {
+            return Ok(true);
+        }
+        if let Some(e) = self.stream.take_error()? {
+            return Err(e);
+        }
+        match self.stream.peer_addr() {
+            Ok(_) => {
+                self.up = true;
+                Ok(true)
+            }
+            Err(e) if e.kind() == ErrorKind::NotConnected => Ok(false),
+            Err(e) => Err(e),
+        }
+    }
+}
+
+/// The core's clock: monotonic, and anchored to Unix time so that it outlasts the process.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    pub start: Instant,
+    pub unix: Duration,
+}
+
+impl Clock {
+    pub fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix }
+    }
+
+    pub fn now(&self) -> Time {
+        Time((self.unix + self.start.elapsed()).as_nanos() as u64)
+    }
+}
--- a/crates/cranehill/src/reactor.rs
+++ b/crates/cranehill/src/reactor.rs
@@ -2,12 +2,12 @@
 //! but in the poll. Everything decided is decided in the core; here are connections, bytes and clocks.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token};
@@ -20,6 +20,7 @@
 use crate::directory;
 use crate::http;
 use crate::ledger::Ledger;
+use crate::link::{ANSWER_MOST, Clock, Link, Out, Role};
 use crate::partners::{self, Told, Verdict};
 use crate::webpush::{self, Push};
 use crate::{clients, core};
@@ -42,8 +43,6 @@
 const SLOW_CLIENT: Duration = Duration::from_secs(10);
 /// Descriptors kept from clients, for partners, the directory, the ledger and its rewriting.
 const KEPT_SOCKETS: usize = 300;
-/// The most that is read ahead on a connection to a partner or the platform.
-const ANSWER_MOST: usize = http::BODY_MOST + 32 * 1024;
 
 /// What a running sender is made of.
 pub struct Setup {
@@ -59,122 +58,6 @@
     pub sockets: usize,
 }
 
-/// A call that is out.
-struct Out {
-    attempts: Vec<Attempt>,
-    ids: Vec<String>,
-    started: Time,
-}
-
-enum Role {
-    Client {
-        busy: bool,
-    },
-    Pusher {
-        busy: Option<String>,
-        close: bool,
-    },
-    Partner {
-        endpoint: EndpointId,
-        address: String,
-        call: Option<Out>,
-        /// A probe, not a call.
-        check: Option<Time>,
-    },
-    Directory,
-    Closing,
-}
-
-struct Link {
-    stream: TcpStream,
-    role: Role,
-    input: Vec<u8>,
-    output: Vec<u8>,
-    written: usize,
-    up: bool,
-    ended: bool,
-    /// When something last went over it.
-    used: Time,
-    close_after: bool,
-}
-
-impl Link {
-    fn room(&self) -> usize {
-        match self.role {
-            Role::Client { .. } => clients::REQUEST_MOST,
-            _ => ANSWER_MOST,
-        }
-    }
-
-    /// Reads what there is, within bounds.
-    fn fill(&mut self) {
-        let mut chunk = [0u8; 16 * 1024];
-        while !self.ended && self.input.len() < self.room() {
-            match self.stream.read(&mut chunk) {
-                Ok(0) => self.ended = true,
-                Ok(n) => self.input.extend_from_slice(&chunk[..n]),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(_) => self.ended = true,
-            }
-        }
-    }
-
-    /// Writes what is due; false if the connection is broken.
-    fn flush(&mut self) -> bool {
-        while self.written < self.output.len() {
-            match self.stream.write(&self.output[self.written..]) {
-                Ok(0) => return false,
-                Ok(n) => self.written += n,
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return true,
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return false,
-            }
-        }
-        true
-    }
-
-    fn written_out(&self) -> bool {
-        self.written == self.output.len()
-    }
-
-    /// Whether the connection came up; an error if it never will.
-    fn check_up(&mut self) -> io::Result<bool> {
-        if self.up {
-            return Ok(true);
-        }
-        if let Some(e) = self.stream.take_error()? {
-            return Err(e);
-        }
-        match self.stream.peer_addr() {
-            Ok(_) => {
-                self.up = true;
-                Ok(true)
-            }
-            Err(e) if e.kind() == ErrorKind::NotConnected => Ok(false),
-            Err(e) => Err(e),
-        }
-    }
-}
-
-/// The core's clock: monotonic, and anchored to Unix time so that it outlasts the process.
-#[derive(Clone, Copy)]
-struct Clock {
-    start: Instant,
-    unix: Duration,
-}
-
-impl Clock {
-    fn new() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), unix }
-    }
-
-    fn now(&self) -> Time {
-        Time((self.unix + self.start.elapsed()).as_nanos() as u64)
-    }
-}
-
 pub struct Reactor {
     poll: Poll,
     clock: Clock,
--- /dev/null
+++ b/crates/cranehill/tests/cli.rs
@@ -0,0 +1,75 @@
+//! The command line: what it prints and how it exits.
+
+use std::io::Write;
+use std::path::Path;
+use std::process::{Command, Output};
+
+fn run(args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_cranehill"));
+    command.args(args).env_remove("NODE_CONFIG").env("RUST_LOG", "error").output().expect("it runs")
+}
+
+fn file(text: &str) -> tempfile::NamedTempFile {
+    let mut file = tempfile::NamedTempFile::new().expect("a file");
+    file.write_all(text.as_bytes()).expect("written");
+    file
+}
+
+fn path(file: &tempfile::NamedTempFile) -> &str {
+    file.path().to_str().expect("a path")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[test]
+fn the_sample_files_of_the_repository_work() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let out = run(&["check", "--webpush", root.join("deploy/webpush.toml").to_str().expect("a path")]);
+    assert!(out.status.success(), "{}", text(&out.stderr));
+    let out = run(&["rehearse", root.join("rehearsals/hard-cases.txt").to_str().expect("a path")]);
+    assert!(out.status.success(), "{}", text(&out.stdout));
+    assert_eq!(text(&out.stdout).lines().count(), 6);
+}
+
+#[test]
+fn a_missed_expectation_exits_with_1_and_a_wrong_script_with_2() {
+    let out = run(&["rehearse", path(&file("push a\nexpect a gone\n"))]);
+    assert_eq!(out.status.code(), Some(1));
+    assert!(text(&out.stdout).contains("line 2: a: delivered (201)"), "{}", text(&out.stdout));
+    let out = run(&["rehearse", path(&file("push a\nhope\n"))]);
+    assert_eq!(out.status.code(), Some(2));
+    assert!(text(&out.stderr).contains("line 2:"));
+}
+
+#[test]
+fn an_import_prints_a_file_that_check_takes_and_lists_the_rest() {
+    let nginx = file(
+        "upstream a { server 127.0.0.1:9100 weight=3; }\nserver { location /p/ { proxy_pass http://a/q/; } }\n",
+    );
+    let out = run(&["import-nginx", path(&nginx)]);
+    assert!(out.status.success());
+    assert!(text(&out.stderr).contains("line 1: not carried over: server 127.0.0.1:9100: weight=3"));
+    let out = run(&["check", "--webpush", path(&file(&text(&out.stdout)))]);
+    assert_eq!(text(&out.stdout), "Web Push: 1 upstreams, 1 locations\n");
+    let out = run(&["import-nginx", path(&file("upstream a {\n"))]);
+    assert_eq!((out.status.code(), out.stdout.len()), (Some(2), 0));
+    assert!(text(&out.stderr).contains("line 1:"));
+}
+
+#[test]
+fn what_cannot_be_started_or_checked_is_one_line_and_2() {
+    for args in [
+        &["serve"] as &[&str],
+        &["check"],
+        &["check", "--webpush", "/nowhere.toml"],
+        &["serve", "--webpush", path(&file("listen = 7\n"))],
+        &["serve", "--webpush", path(&file(""))],
+    ] {
+        let out = run(args);
+        assert_eq!(out.status.code(), Some(2), "{args:?}");
+        assert_eq!(text(&out.stderr).lines().count(), 1, "{args:?}: {}", text(&out.stderr));
+    }
+    assert!(text(&run(&["version"]).stdout).starts_with("cranehill "));
+}
--- a/crates/cranehill/tests/ledger.rs
+++ b/crates/cranehill/tests/ledger.rs
@@ -1,15 +1,13 @@
 //! The journal on disk.
 
-use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 use cranehill::core::{Closing, Record};
 use cranehill::ledger::Ledger;
+use tempfile::TempDir;
 
-fn folder(name: &str) -> PathBuf {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("ledger-{name}"));
-    let _ = std::fs::remove_dir_all(&folder);
-    folder
+fn folder() -> TempDir {
+    tempfile::tempdir().expect("a folder")
 }
 
 fn taken(id: &str, body: &[u8]) -> Record {
@@ -38,45 +36,49 @@
 
 #[test]
 fn what_was_written_is_read_again() {
-    let dir = folder("again");
-    let (mut ledger, found) = Ledger::open(&dir, DISK).expect("opened");
+    let folder = folder();
+    let dir = folder.path();
+    let (mut ledger, found) = Ledger::open(dir, DISK).expect("opened");
     assert!(found.is_empty());
     ledger.append(&some()[..2]).expect("written");
     ledger.append(&some()[2..]).expect("written");
-    assert_eq!(Ledger::open(&dir, DISK).expect("opened").1, some());
+    assert_eq!(Ledger::open(dir, DISK).expect("opened").1, some());
 }
 
 #[test]
 fn cut_anywhere_it_holds_the_records_before_the_cut_and_goes_on_from_there() {
-    let dir = folder("cut");
-    Ledger::open(&dir, DISK).expect("opened").0.append(&some()).expect("written");
+    let folder = folder();
+    let dir = folder.path();
+    Ledger::open(dir, DISK).expect("opened").0.append(&some()).expect("written");
     let whole = std::fs::read(dir.join("ledger")).expect("bytes");
     let mut seen = 0;
     for cut in 0..whole.len() {
         std::fs::write(dir.join("ledger"), &whole[..cut]).expect("cut");
-        let (mut ledger, found) = Ledger::open(&dir, DISK).expect("opened");
+        let (mut ledger, found) = Ledger::open(dir, DISK).expect("opened");
         assert_eq!(found, some()[..found.len()], "cut at {cut}");
         assert!(found.len() >= seen && found.len() < some().len());
         seen = found.len();
         ledger.append(&[Record::Over { id: "z".into() }]).expect("written");
-        assert_eq!(Ledger::open(&dir, DISK).expect("opened").1.len(), found.len() + 1);
+        assert_eq!(Ledger::open(dir, DISK).expect("opened").1.len(), found.len() + 1);
     }
     assert_eq!(seen, some().len() - 1);
 }
 
 #[test]
 fn a_swap_cut_short_by_a_kill_is_ignored() {
-    let dir = folder("swap");
-    Ledger::open(&dir, DISK).expect("opened").0.append(&some()).expect("written");
+    let folder = folder();
+    let dir = folder.path();
+    Ledger::open(dir, DISK).expect("opened").0.append(&some()).expect("written");
     std::fs::write(dir.join("ledger.new"), b"half").expect("written");
-    assert_eq!(Ledger::open(&dir, DISK).expect("opened").1, some());
+    assert_eq!(Ledger::open(dir, DISK).expect("opened").1, some());
     assert!(!dir.join("ledger.new").exists());
 }
 
 #[test]
 fn it_is_rewritten_well_under_the_folders_limit_and_stays_so() {
-    let dir = folder("size");
-    let (mut ledger, _) = Ledger::open(&dir, DISK).expect("opened");
+    let folder = folder();
+    let dir = folder.path();
+    let (mut ledger, _) = Ledger::open(dir, DISK).expect("opened");
     let size = || std::fs::metadata(dir.join("ledger")).expect("a file").len();
     let mut rewritten = 0;
     for n in 0..5000 {
@@ -94,8 +96,9 @@
 
 #[test]
 fn a_full_ledger_takes_nothing_more_on_but_still_closes_what_is_owed() {
-    let dir = folder("full");
-    let (mut ledger, _) = Ledger::open(&dir, DISK).expect("opened");
+    let folder = folder();
+    let dir = folder.path();
+    let (mut ledger, _) = Ledger::open(dir, DISK).expect("opened");
     let mut live = Vec::new();
     while ledger.has_room(65_000) {
         let record = taken(&format!("m{}", live.len()), &[7; 64_000]);
@@ -118,6 +121,6 @@
     assert!(ledger.append(&beyond).is_err());
     // A refused write leaves no trace.
     assert!(ledger.append(&[Record::Over { id: "m1".into() }]).is_ok());
-    let found = Ledger::open(&dir, DISK).expect("opened").1;
+    let found = Ledger::open(dir, DISK).expect("opened").1;
     assert_eq!(found.last(), Some(&Record::Over { id: "m1".into() }));
 }
--- a/crates/cranehill/tests/restart.rs
+++ b/crates/cranehill/tests/restart.rs
@@ -4,7 +4,7 @@
 
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -35,13 +35,6 @@
     }
 }
 
-fn folder(name: &str) -> PathBuf {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    let _ = std::fs::remove_dir_all(&folder);
-    std::fs::create_dir_all(&folder).expect("a folder");
-    folder
-}
-
 fn spawn(folder: &Path, known: &str, platform: &StandIn) -> Process {
     let config = folder.join("config.json");
     std::fs::write(&config, config_text(known)).expect("configuration");
@@ -85,24 +78,26 @@
 
 #[test]
 fn a_notice_taken_on_is_delivered_after_a_kill() {
-    let folder = folder("kill");
+    let folder = tempfile::tempdir().expect("a folder");
+    let folder = folder.path();
     let (partner, open) = partner();
     let platform = platform();
     let known = list(1, &[("a", partner.address, 7, "station")]);
-    let mut first = spawn(&folder, &known, &platform);
+    let mut first = spawn(folder, &known, &platform);
     assert_eq!(Client::new(first.clients).put("m1", NAMES, b"one\r\n\0two"), "+OK");
     assert!(partner.wait_for(1, SOON));
     first.child.kill().expect("killed");
     first.child.wait().expect("gone");
     open.store(true, Ordering::Relaxed);
-    let _second = spawn(&folder, &known, &platform);
+    let _second = spawn(folder, &known, &platform);
     assert!(partner.wait_for(2, SOON), "the notice is sent again");
     assert_eq!(bodies(&partner), [b"one\r\n\0two", b"one\r\n\0two"]);
 }
 
 #[test]
 fn a_notice_whose_partner_is_not_listed_is_closed_after_a_kill_and_reported_until_taken() {
-    let folder = folder("closing");
+    let folder = tempfile::tempdir().expect("a folder");
+    let folder = folder.path();
     // The platform takes the report at the second try only.
     let tries = AtomicUsize::new(0);
     let platform = StandIn::new(move |request, _| match request.method.as_str() {
@@ -112,12 +107,12 @@
     })
     .expect("platform");
     let known = list(1, &[]);
-    let mut first = spawn(&folder, &known, &platform);
+    let mut first = spawn(folder, &known, &platform);
     let names = "c=episode-notice,d=700,k=5c0f,dest=7";
     assert_eq!(Client::new(first.clients).put("m1", names, b"x"), "+OK");
     first.child.kill().expect("killed");
     first.child.wait().expect("gone");
-    let _second = spawn(&folder, &known, &platform);
+    let _second = spawn(folder, &known, &platform);
     let reports = |s: &StandIn| {
         let posts = s.seen().into_iter().filter(|s| s.request.method == "POST");
         posts.map(|s| String::from_utf8_lossy(&s.request.body).into_owned()).collect::<Vec<_>>()
@@ -134,11 +129,12 @@
 
 #[test]
 fn a_sigterm_still_serves_and_ends_by_itself_with_the_rest_in_the_ledger() {
-    let folder = folder("term");
+    let folder = tempfile::tempdir().expect("a folder");
+    let folder = folder.path();
     let (partner, open) = partner();
     let platform = platform();
     let known = list(1, &[("a", partner.address, 7, "station")]);
-    let mut first = spawn(&folder, &known, &platform);
+    let mut first = spawn(folder, &known, &platform);
     let mut client = Client::new(first.clients);
     assert_eq!(client.put("m1", NAMES, b"one"), "+OK");
     // A request that has begun is answered, whenever its rest comes.
@@ -152,7 +148,7 @@
     assert!(first.child.wait().expect("it ends").success());
     open.store(true, Ordering::Relaxed);
     let seen = partner.seen().len();
-    let _second = spawn(&folder, &known, &platform);
+    let _second = spawn(folder, &known, &platform);
     assert!(partner.wait_for(seen + 2, SOON), "both are delivered by the next life");
     let mut after = bodies(&partner)[seen..].to_vec();
     after.sort();
@@ -161,7 +157,8 @@
 
 #[test]
 fn every_notice_taken_on_ends_however_often_the_process_is_killed() {
-    let folder = folder("often");
+    let folder = tempfile::tempdir().expect("a folder");
+    let folder = folder.path();
     // Slow enough that each kill finds attempts out and notices held; some answers are errors and refusals.
     let partner = StandIn::new(|_, number| {
         std::thread::sleep(Duration::from_millis(15));
@@ -176,7 +173,7 @@
     let known = list(1, &[("a", partner.address, 7, "station")]);
     let mut taken = Vec::new();
     for life in 0..4 {
-        let mut process = spawn(&folder, &known, &platform);
+        let mut process = spawn(folder, &known, &platform);
         let mut client = Client::new(process.clients);
         for n in 0..12 {
             let id = format!("life{life}-{n}");
@@ -188,7 +185,7 @@
         process.child.wait().expect("gone");
     }
     assert!(taken.len() >= 24, "{taken:?}");
-    let mut last = spawn(&folder, &known, &platform);
+    let mut last = spawn(folder, &known, &platform);
     let ended = || {
         let seen: std::collections::BTreeSet<Vec<u8>> = bodies(&partner).into_iter().collect();
         taken.iter().all(|id| seen.contains(id.as_bytes()))
@@ -209,11 +206,12 @@
 
 #[test]
 fn a_torn_last_record_is_dropped_and_the_rest_kept() {
-    let folder = folder("torn");
+    let folder = tempfile::tempdir().expect("a folder");
+    let folder = folder.path();
     let (partner, open) = partner();
     let platform = platform();
     let known = list(1, &[("a", partner.address, 7, "station")]);
-    let mut first = spawn(&folder, &known, &platform);
+    let mut first = spawn(folder, &known, &platform);
     assert_eq!(Client::new(first.clients).put("m1", NAMES, b"one"), "+OK");
     first.child.kill().expect("killed");
     first.child.wait().expect("gone");
@@ -223,13 +221,14 @@
     std::fs::write(&ledger, bytes).expect("written");
     open.store(true, Ordering::Relaxed);
     let before = partner.seen().len();
-    let _second = spawn(&folder, &known, &platform);
+    let _second = spawn(folder, &known, &platform);
     assert!(partner.wait_for(before + 1, SOON));
 }
 
 #[test]
 fn bad_configuration_is_one_line_and_exit_code_2() {
-    let folder = folder("bad");
+    let folder = tempfile::tempdir().expect("a folder");
+    let folder = folder.path();
     let config = folder.join("config.json");
     for text in ["", "{", "{}", r#"{"settings":{}}"#, &config_text("{\"version\":1}")] {
         std::fs::write(&config, text).expect("written");
