--- a/crates/cranehill/src/http.rs
+++ b/crates/cranehill/src/http.rs
@@ -10,6 +10,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Malformed(pub &'static str);
 
+pub const TOO_LARGE: Malformed = Malformed("body too large");
+
 pub type Headers = Vec<(String, Vec<u8>)>;
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -63,14 +65,14 @@
         if text.is_empty() || !text.bytes().all(|b| b.is_ascii_digit()) {
             return Err(Malformed("content length not a number"));
         }
-        let len = text.parse().map_err(|_| Malformed("body too large"))?;
+        let len = text.parse().map_err(|_| TOO_LARGE)?;
         if stated.is_some_and(|s| s != len) {
             return Err(Malformed("content lengths differ"));
         }
         stated = Some(len);
     }
     match stated {
-        Some(len) if len > BODY_MOST => Err(Malformed("body too large")),
+        Some(len) if len > BODY_MOST => Err(TOO_LARGE),
         Some(len) => Ok(Length::Known(len)),
         None => Ok(Length::Unstated),
     }
@@ -87,7 +89,7 @@
         };
         let size = usize::try_from(size).unwrap_or(usize::MAX);
         if size > BODY_MOST || body.len() + size > BODY_MOST {
-            return Err(Malformed("body too large"));
+            return Err(TOO_LARGE);
         }
         at += skip;
         if size == 0 {
@@ -158,7 +160,7 @@
     let whole = if unstated {
         close = true;
         if bytes.len() - head > BODY_MOST {
-            return Err(Malformed("body too large"));
+            return Err(TOO_LARGE);
         }
         ended.then(|| (bytes[head..].to_vec(), bytes.len() - head))
     } else {
--- a/crates/cranehill/src/reactor.rs
+++ b/crates/cranehill/src/reactor.rs
@@ -567,11 +567,11 @@
                     }
                     return;
                 }
-                Err(http::Malformed(why)) => {
+                Err(wrong) => {
                     link.close_after = true;
                     link.input.clear();
-                    let status = if why == "body too large" { 413 } else { 400 };
-                    self.say(id, &webpush::error(status, why));
+                    let status = if wrong == http::TOO_LARGE { 413 } else { 400 };
+                    self.say(id, &webpush::error(status, wrong.0));
                     continue;
                 }
             };
@@ -664,7 +664,6 @@
             Ok(id) => {
                 if let Some(link) = self.links.get_mut(&id) {
                     link.output = http::write_request("GET", "/health", &address, &[], b"");
-                    link.close_after = true;
                 }
             }
             Err(_) => self.step(Input::Checked { endpoint, status: Status::NoConnection }),
--- a/crates/cranehill/src/rehearsal.rs
+++ b/crates/cranehill/src/rehearsal.rs
@@ -235,7 +235,10 @@
             for word in rest {
                 match word.split_once('=') {
                     Some(("ttl", "none")) => headers.retain(|h| h.0 != "TTL"),
-                    Some(("ttl", value)) => headers[0].1 = value.to_owned(),
+                    Some(("ttl", value)) => {
+                        headers.retain(|h| h.0 != "TTL");
+                        headers.push(("TTL".into(), value.into()));
+                    }
                     Some(("urgency", value)) => headers.push(("Urgency".into(), value.into())),
                     Some(("topic", value)) => headers.push(("Topic".into(), value.into())),
                     Some(("body", value)) => body = value.to_owned(),
--- a/crates/cranehill/tests/parsers.rs
+++ b/crates/cranehill/tests/parsers.rs
@@ -221,6 +221,8 @@
         ("wait soon", 1),
         ("jump", 1),
         ("push a colour=red", 1),
+        // Once an index out of bounds: the default TTL was gone by the second word.
+        ("push a ttl=none ttl=5 ttl", 1),
     ] {
         let error = rehearsal::parse(bad).expect_err(bad);
         assert!(error.starts_with(&format!("line {line}:")), "{bad:?}: {error}");
@@ -238,3 +240,41 @@
     assert_eq!(bad.missed, 2, "{bad:?}");
     assert!(bad.lines.iter().all(|l| l.contains("MISSED")));
 }
+
+#[test]
+fn no_bytes_make_a_parser_panic_or_run_past_its_input() {
+    // Valid inputs with a few bytes changed, cut or doubled, always the same ones.
+    let mut state = 0x5eed_u64;
+    let mut next = move |below: usize| {
+        state = state.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        (state >> 33) as usize % below.max(1)
+    };
+    let valid: Vec<Vec<u8>> = vec![
+        common::put("m1", "c=episode-notice,d=8000,dest=7", b"body"),
+        b"POST /push/a HTTP/1.1\r\nTTL: 9\r\nContent-Length: 4\r\n\r\nbody".to_vec(),
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n".to_vec(),
+        NGINX.as_bytes().to_vec(),
+        b"service answers 429 retry-after=1\npush a ttl=3\nexpect a delivered within 2\n".to_vec(),
+    ];
+    for round in 0..20_000 {
+        let mut bytes = valid[round % valid.len()].clone();
+        for _ in 0..=next(3) {
+            let at = next(bytes.len());
+            match next(4) {
+                0 => bytes[at] = next(256) as u8,
+                1 => bytes.truncate(at + 1),
+                2 => bytes.insert(at, b"*$\r\n{};=0:"[next(10)]),
+                _ => drop(bytes.remove(at)),
+            }
+            if bytes.is_empty() {
+                bytes.push(b'x');
+            }
+        }
+        let within = |used: usize| assert!(used > 0 && used <= bytes.len());
+        clients::parse(&bytes).ok().flatten().into_iter().for_each(|r| within(r.1));
+        http::request(&bytes).ok().flatten().into_iter().for_each(|r| within(r.1));
+        http::response(&bytes, true).ok().flatten().into_iter().for_each(|r| within(r.1));
+        let text = String::from_utf8_lossy(&bytes);
+        let _ = (nginx::import(&text), webpush::parse_file(&text), rehearsal::parse(&text));
+    }
+}
