Fix a stack overflow on pipelined repeats; bound one client's turn; pace a hasty directory

Seen: a client that pipelines the same notice 20,000 times ended the process, 'has overflowed its stack' (tests/clients.rs, run on the code before). At fault: reactor::answer called pump, which read the next request, whose answer at once called pump again. Answered connections are now taken up at the next turn, and one client's stream is dealt with 32 requests at a time. Also: a directory that answers each watch at once made the loop ask without end; it is asked every 100 ms, which still continues the watch.

--- a/crates/cranehill/src/reactor.rs
+++ b/crates/cranehill/src/reactor.rs
@@ -39,6 +39,8 @@
 const STOP_SENDING: Duration = Duration::from_millis(2600);
 /// SIGKILL comes at 3.7 s.
 const STOP_ALL: Duration = Duration::from_millis(3400);
+/// Requests of one client that are dealt with before others have their turn.
+const REQUESTS_A_TURN: usize = 32;
 /// A client that has begun a request has so long to finish it.
 const SLOW_CLIENT: Duration = Duration::from_secs(10);
 /// Descriptors kept from clients, for partners, the directory, the ledger and its rewriting.
@@ -73,6 +75,7 @@
     discovery: Option<SocketAddr>,
     version: u64,
     watch_at: Option<Time>,
+    watch_asked: Time,
     reports: Reports,
     report_at: Time,
     wakes: BTreeSet<Time>,
@@ -82,6 +85,8 @@
     stopping: Option<Time>,
     sending_stopped: bool,
     accept_again: Option<Time>,
+    /// Connections with more to deal with at the next turn.
+    resume: Vec<usize>,
     halted: Arc<AtomicBool>,
 }
 
@@ -145,6 +150,7 @@
             discovery,
             version: known_version,
             watch_at: discovery.map(|_| now),
+            watch_asked: now,
             reports: Reports::default(),
             report_at: now,
             wakes: BTreeSet::new(),
@@ -153,6 +159,7 @@
             stopping: None,
             sending_stopped: false,
             accept_again: None,
+            resume: Vec::new(),
             halted: Arc::default(),
         };
         reactor.carry_out(effects);
@@ -239,6 +246,9 @@
                 Token(link) => self.pump(link),
             }
         }
+        for link in std::mem::take(&mut self.resume) {
+            self.pump(link);
+        }
         self.timers();
         let now = self.clock.now();
         // The decisions run once a tick, as in the simulator: what comes in together is decided together.
@@ -258,6 +268,9 @@
         if self.dirty {
             consider(self.last_turn + self.site.settings.tick);
         }
+        if !self.resume.is_empty() {
+            consider(now);
+        }
         self.wakes.first().copied().into_iter().for_each(&mut consider);
         self.watch_at.into_iter().chain(self.accept_again).for_each(&mut consider);
         if self.reports.ready() {
@@ -446,9 +459,9 @@
         // At the end of the process a connection closes between requests.
         link.close_after |= self.clients.is_none() && self.pushes.is_none();
         self.say(id, &bytes);
-        if self.links.get(&id).is_some_and(|l| l.written_out()) {
-            self.pump(id);
-        }
+        // Not dealt with here: a client that pipelines what is answered at once would have us call ourselves
+        // until the stack is full.
+        self.resume.push(id);
     }
 
     /// Queues bytes and writes what goes at once.
@@ -467,7 +480,8 @@
     }
 
     fn on_client(&mut self, id: usize) {
-        while let Some(link) = self.links.get_mut(&id) {
+        for _ in 0..REQUESTS_A_TURN {
+            let Some(link) = self.links.get_mut(&id) else { return };
             let written = link.written_out();
             let Role::Client { busy } = &mut link.role else { return };
             if *busy || !written {
@@ -525,6 +539,8 @@
                 link.fill();
             }
         }
+        // The rest waits: one client's stream of requests must not keep the others from their turn.
+        self.resume.push(id);
     }
 
     fn on_pusher(&mut self, id: usize) {
@@ -806,7 +822,14 @@
                     self.drop_link(id);
                 }
                 if watching {
+                    let before = self.version;
                     self.on_list(&response);
+                    // A directory that does not hold the watch would have us ask without end; so soon after, the
+                    // next watch still continues this one.
+                    let now = self.clock.now();
+                    if self.version == before && now - self.watch_asked < directory::AGAIN {
+                        self.watch_at.get_or_insert(now + directory::AGAIN);
+                    }
                     // The next watch goes at once: within 200 ms it continues this one.
                     match (reuse, self.watch_at) {
                         (true, None) => self.watch(Some(id)),
@@ -858,6 +881,7 @@
         let Some(address) = self.discovery else { return };
         let host = address.to_string();
         let bytes = directory::watch(&host, self.version);
+        self.watch_asked = self.clock.now();
         let id = match link {
             Some(id) => id,
             None => match self.connect(Role::Directory, &host) {
--- a/crates/cranehill/tests/common/mod.rs
+++ b/crates/cranehill/tests/common/mod.rs
@@ -100,6 +100,11 @@
         Client(stream)
     }
 
+    /// For another thread to write with.
+    pub fn writer(&self) -> TcpStream {
+        self.0.try_clone().expect("a second handle")
+    }
+
     pub fn send(&mut self, bytes: &[u8]) {
         self.0.write_all(bytes).expect("write");
     }
