Test that a told wait holds back a call whose connection is still coming up

Checked that the test can fail: with Effect::HoldBack ignored, the call for m2 arrives one second into a wait of sixty. A stand-in whose accept queue is full keeps the connection from coming up until then.

--- /dev/null
+++ b/crates/cranehill/tests/told_wait.rs
@@ -0,0 +1,72 @@
+//! A told wait also stops the call whose connection was still coming up when the wait was told.
+
+mod common;
+
+use std::io::Read;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use common::*;
+use cranehill::rehearsal::{Reply, StandIn};
+use socket2::{Domain, Socket, Type};
+
+/// A listener whose queue is full: further connections don't come up until it accepts.
+fn full_listener() -> (TcpListener, Vec<TcpStream>) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(&any.into()).expect("bound");
+    socket.listen(0).expect("listening");
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr().expect("an address");
+    let short = Duration::from_millis(100);
+    let fill = std::iter::from_fn(|| TcpStream::connect_timeout(&address, short).ok()).take(64).collect();
+    (listener, fill)
+}
+
+#[test]
+fn a_call_that_waits_for_its_connection_is_held_back_by_a_told_wait() {
+    let told = Arc::new(AtomicBool::new(false));
+    let tell = told.clone();
+    let first = StandIn::new(move |_, _| {
+        while !tell.load(Ordering::Relaxed) {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        Reply::wait(429, "60")
+    })
+    .expect("partner");
+    let (second, fill) = full_listener();
+    let address = second.local_addr().expect("an address");
+    let platform = platform();
+    let endpoints = [("a", first.address, 7, "station"), ("b", address, 7, "station")];
+    let sender = start(&list(1, &endpoints), &platform);
+    let mut client = Client::new(sender.clients);
+    let names = "c=episode-notice,d=20000,k=aa,dest=7";
+    assert_eq!(client.put("m1", names, b"x"), "+OK");
+    assert!(first.wait_for(1, SOON));
+    // The first endpoint is busy, so this goes to the second, whose connection does not come up yet.
+    assert_eq!(client.put("m2", names, b"y"), "+OK");
+    std::thread::sleep(Duration::from_millis(100));
+    told.store(true, Ordering::Relaxed);
+    std::thread::sleep(Duration::from_millis(100));
+    // Once this is answered, the wait, which was written before it, has been read.
+    assert_eq!(client.put("m3", "c=episode-notice,d=20000,k=bb,dest=99", b"z"), "+OK");
+    // Now it can come up: the system tries again after one second. Nothing may arrive on it.
+    drop(fill);
+    second.set_nonblocking(true).expect("set");
+    let until = Instant::now() + Duration::from_millis(2200);
+    let (mut streams, mut bytes) = (Vec::new(), Vec::new());
+    while Instant::now() < until {
+        if let Ok((stream, _)) = second.accept() {
+            stream.set_nonblocking(true).expect("set");
+            streams.push(stream);
+        }
+        for stream in &mut streams {
+            let _ = stream.read_to_end(&mut bytes);
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    assert_eq!(String::from_utf8_lossy(&bytes), "");
+    assert_eq!(first.seen().len(), 1, "nor at the other endpoint");
+}
