Test both fronts side by side, and the push front's end on SIGTERM

A new whole list from the directory must not take the push services out of the core's list, and whoever still waits for a push's end when the process ends is told to come back. Both held; the tests keep it so.

--- a/crates/cranehill/tests/restart.rs
+++ b/crates/cranehill/tests/restart.rs
@@ -245,3 +245,34 @@
         assert_eq!(err.lines().count(), 1, "{err}");
     }
 }
+
+#[test]
+fn alone_as_a_push_front_its_end_answers_who_still_waits() {
+    let service = StandIn::new(|_, _| Reply::Silent).expect("service");
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("webpush.toml");
+    let text = format!(
+        "listen = \"127.0.0.1:0\"\n[[upstream]]\nname = \"s\"\n[[upstream.server]]\naddress = \"{}\"\n[[location]]\npath = \"/push/\"\nupstream = \"s\"\n",
+        service.address
+    );
+    std::fs::write(&file, text).expect("written");
+    let mut child = Command::new(env!("CARGO_BIN_EXE_cranehill"))
+        .args(["serve", "--webpush", file.to_str().expect("a path")])
+        .env_remove("NODE_CONFIG")
+        .env("RUST_LOG", "info")
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program starts");
+    let mut log = BufReader::new(child.stderr.take().expect("its log")).lines();
+    let address: SocketAddr = log
+        .find_map(|l| Some(l.ok()?.split_once("listening for Web Push at ")?.1.parse().expect("an address")))
+        .expect("it says where it listens");
+    let mut process = Process { child, clients: address, log: None };
+    let mut client = Client::new(address);
+    client.send(b"POST /push/a HTTP/1.1\r\nTTL: 20\r\nTopic: t\r\nContent-Length: 1\r\n\r\nx");
+    assert!(service.wait_for(1, SOON));
+    process.signal("-TERM");
+    assert_eq!(client.line(), "HTTP/1.1 503 Service Unavailable");
+    assert_eq!(client.line(), "Retry-After: 5");
+    assert!(process.child.wait().expect("it ends").success());
+}
--- a/crates/cranehill/tests/webpush.rs
+++ b/crates/cranehill/tests/webpush.rs
@@ -11,7 +11,7 @@
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use common::SOON;
 use cranehill::http::{self, Response, header};
-use cranehill::reactor::{Halter, Reactor};
+use cranehill::reactor::{Halter, Reactor, Setup};
 use cranehill::rehearsal::{Reply, StandIn, push_setup};
 use cranehill::webpush::VapidFile;
 use p256::ecdsa::signature::Verifier;
@@ -287,3 +287,37 @@
     let expires = claims["exp"].as_u64().expect("a time");
     assert!(expires > now && expires <= now + 24 * 3600);
 }
+
+#[test]
+fn beside_the_platform_both_fronts_work_and_a_new_whole_list_leaves_the_push_services_in() {
+    let partner = always(Reply::status(200));
+    let service = always(Reply::status(201));
+    let whole = common::list(9, &[("a", partner.address, 7, "station")]);
+    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{whole}", whole.len()).into_bytes();
+    let platform = StandIn::new(move |request, _| match request.path.contains("from=9&") {
+        true => Reply::Silent,
+        false => Reply::Bytes(answer.clone()),
+    })
+    .expect("platform");
+    let config = common::config(&common::list(1, &[]), platform.address);
+    let mut reactor = Reactor::new(Setup {
+        site: config.site,
+        listen: Some(config.listen),
+        discovery: Some(config.discovery),
+        known_version: config.known_version,
+        known: config.known,
+        ..push_setup(service.address, None)
+    })
+    .expect("the sender starts");
+    let (clients, pushes) = reactor.addresses();
+    let halter = reactor.halter().expect("halter");
+    thread::spawn(move || reactor.run(|| false));
+    let front = Front { address: pushes.expect("it listens"), halter };
+    // The second watch shows that the new list has been taken.
+    assert!(platform.wait_for(2, SOON));
+    let mut client = common::Client::new(clients.expect("it listens"));
+    assert_eq!(client.put("m1", "c=episode-notice,d=8000,k=aa,dest=7", b"x"), "+OK");
+    assert!(partner.wait_for(1, SOON));
+    assert_eq!(post(&front, "a", &[("TTL", "9")], b"y").status, 201);
+    assert_eq!((partner.seen().len(), service.seen().len()), (1, 1));
+}
