--- a/crates/cranehill/src/cli.rs
+++ b/crates/cranehill/src/cli.rs
@@ -2,13 +2,12 @@
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
 use clap::{Parser, Subcommand};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
 use crate::config::{self, Config};
-use crate::reactor::{self, Reactor, Setup};
+use crate::reactor::{self, Order, Reactor, Setup};
 use crate::webpush;
 use crate::{nginx, rehearsal};
 
@@ -104,6 +103,8 @@
             known: Vec::new(),
             push: Some(push),
             sockets: 1024,
+            memory: 192_000_000,
+            reread: None,
         });
     };
 
@@ -117,6 +118,8 @@
         known: config.known,
         push,
         sockets: config.limits.sockets.min(1024),
+        memory: (config.limits.memory_mb * 1e6) as usize,
+        reread: Some(Box::new(|| config::directory_now(variable))),
     })
 }
 
@@ -126,23 +129,16 @@
 
 fn serve(webpush: Option<&Path>) -> Result<(), String> {
     let push = webpush.map(webpush_file).transpose()?;
+    // Before anything else: a signal that comes while we start must not end the process.
+    let mut signals = signal_hook_mio::v1_0::Signals::new([SIGTERM, SIGINT, SIGHUP])
+        .map_err(|e| format!("signals: {e}"))?;
     let mut reactor = Reactor::new(setup(load_config()?, push)?)?;
-    let asked = Arc::new(AtomicBool::new(false));
-    let mut signals =
-        signal_hook_mio::v1_0::Signals::new([signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT])
-            .map_err(|e| format!("signals: {e}"))?;
     reactor
         .registry()
         .register(&mut signals, reactor::SIGNALS, mio::Interest::READABLE)
         .map_err(|e| format!("signals: {e}"))?;
-    reactor
-        .run(|| {
-            if signals.pending().count() > 0 {
-                asked.store(true, Ordering::Relaxed);
-            }
-            asked.load(Ordering::Relaxed)
-        })
-        .map_err(|e| format!("poll: {e}"))
+    let order = |signal| if signal == SIGHUP { Order::Reload } else { Order::Stop };
+    reactor.run(|| signals.pending().map(order).collect()).map_err(|e| format!("poll: {e}"))
 }
 
 fn read(path: &Path) -> Result<String, String> {
--- a/crates/cranehill/src/clients.rs
+++ b/crates/cranehill/src/clients.rs
@@ -127,7 +127,7 @@
         partner: partner.ok_or("destination missing")?,
         key,
         body: Arc::from(body),
-        left: left.map_or(longest, Duration::from_millis).min(longest),
+        left: Duration::from_millis(left.ok_or("time left missing")?).min(longest),
         spent: 0,
         envelope: None,
         from: Origin::Client(from),
--- a/crates/cranehill/src/config.rs
+++ b/crates/cranehill/src/config.rs
@@ -40,12 +40,13 @@
 #[serde(default)]
 pub struct Limits {
     pub sockets: usize,
+    pub memory_mb: f64,
     pub disk_mb: f64,
 }
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { sockets: 1024, disk_mb: 3.0 }
+        Limits { sockets: 1024, memory_mb: 192.0, disk_mb: 3.0 }
     }
 }
 
@@ -89,6 +90,12 @@
     parse(&text, var).map_err(|e| format!("{path}: {e}"))
 }
 
+/// Where the directory is by the file as it is now. The variables were told at start: here the file, which is
+/// the newer, goes before them. All of it must be readable: half of a file may name anything.
+pub fn directory_now(var: impl Fn(&str) -> Option<String>) -> Result<SocketAddr, String> {
+    load(|name| var(name).filter(|_| name != "NODE_DISCOVERY")).map(|config| config.discovery)
+}
+
 /// As [`load`], from the file's text. A variable goes before what the file says.
 pub fn parse(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
     let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
--- a/crates/cranehill/src/core.rs
+++ b/crates/cranehill/src/core.rs
@@ -19,6 +19,8 @@
 /// The largest body of a call with several notices, and what each adds besides its own body and key.
 const CALL_MOST: usize = 64 * 1024;
 const ITEM: usize = 128;
+/// A partner that is no longer listed is known for so long.
+const FORGOTTEN: Duration = Duration::from_secs(600);
 
 /// What a front passes along with a notice and the core does not look into.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -239,6 +241,8 @@
     held: BTreeMap<String, Held>,
     closing: BTreeMap<String, Closing>,
     list: BTreeMap<EndpointId, Partner>,
+    /// Partners listed now, or until lately, and when last.
+    known: BTreeMap<u64, Time>,
     events: Vec<Event>,
     records: Vec<Record>,
     deferred: Vec<Effect>,
@@ -267,6 +271,7 @@
             held: BTreeMap::new(),
             closing: BTreeMap::new(),
             list: BTreeMap::new(),
+            known: BTreeMap::new(),
             events: Vec::new(),
             records: Vec::new(),
             deferred: Vec::new(),
@@ -316,6 +321,12 @@
         }
     }
 
+    /// Whether the directory lists this partner, or did until lately: all of its endpoints may be in the middle
+    /// of being replaced.
+    pub fn knows(&self, partner: u64) -> bool {
+        self.known.contains_key(&partner)
+    }
+
     /// Calls out just now.
     pub fn attempts_out(&self) -> usize {
         self.held.values().filter(|h| h.out.is_some()).count()
@@ -403,6 +414,16 @@
             entries.push(entry.clone());
             self.list.insert(entry.endpoint.clone(), Partner { endpoint: entry, address });
         }
+        // What has gone must not be kept: on a long day the directory names endpoints without end.
+        if whole {
+            self.list.retain(|e, _| entries.iter().any(|entry| entry.endpoint == *e));
+        }
+        self.list.retain(|_, p| p.endpoint.condition != Condition::Gone);
+        for partner in self.list.values() {
+            self.known.insert(partner.endpoint.dest.0, self.now);
+        }
+        let now = self.now;
+        self.known.retain(|_, listed| now - *listed < FORGOTTEN);
         self.events.push(Event::List { whole, entries });
         vec![Effect::HoldBack { endpoints: hold_back }]
     }
--- a/crates/cranehill/src/directory.rs
+++ b/crates/cranehill/src/directory.rs
@@ -68,6 +68,11 @@
     }
 }
 
+/// The question for all of the list, answered at once.
+pub fn whole(host: &str) -> Vec<u8> {
+    http::write_request("GET", "/v1/endpoints", host, &[], b"")
+}
+
 /// The watch that continues from this version.
 pub fn watch(host: &str, version: u64) -> Vec<u8> {
     let path = format!("/v1/endpoints?from={version}&hold_ms={}", HOLD.as_millis());
--- a/crates/cranehill/src/link.rs
+++ b/crates/cranehill/src/link.rs
@@ -49,6 +49,12 @@
     pub ended: bool,
     /// When something last went over it.
     pub used: Time,
+    /// A client's: since when we wait for it.
+    pub since: Time,
+    /// A client's: it has sent a whole request.
+    pub asked: bool,
+    /// A client's: requests that got an error.
+    pub faults: u32,
     pub close_after: bool,
 }
 
@@ -111,6 +117,15 @@
     }
 }
 
+/// Takes the first bytes of what has come. A buffer that once held much is given back: hundreds of connections
+/// keep theirs.
+pub fn consume(input: &mut Vec<u8>, used: usize) {
+    input.drain(..used);
+    if input.is_empty() && input.capacity() > 4096 {
+        *input = Vec::new();
+    }
+}
+
 /// The core's clock: monotonic, and anchored to Unix time so that it outlasts the process.
 #[derive(Clone, Copy)]
 pub struct Clock {
--- a/crates/cranehill/src/reactor.rs
+++ b/crates/cranehill/src/reactor.rs
@@ -1,5 +1,11 @@
 //! The mio loop: carries out what the core asks for, and tells it what came of it. One thread, no blocking
 //! but in the poll. Everything decided is decided in the core; here are connections, bytes and clocks.
+//! `door` looks after those who hand notices in, `calls` after partners, `platform` after the directory and
+//! the closing reports.
+
+mod calls;
+mod door;
+mod platform;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, ErrorKind};
@@ -20,7 +26,7 @@
 use crate::directory;
 use crate::http;
 use crate::ledger::Ledger;
-use crate::link::{ANSWER_MOST, Clock, Link, Out, Role};
+use crate::link::{ANSWER_MOST, Clock, Link, Out, Role, consume};
 use crate::partners::{self, Told, Verdict};
 use crate::webpush::{self, Push};
 use crate::{clients, core};
@@ -39,12 +45,11 @@
 const STOP_SENDING: Duration = Duration::from_millis(2600);
 /// SIGKILL comes at 3.7 s.
 const STOP_ALL: Duration = Duration::from_millis(3400);
-/// Requests of one client that are dealt with before others have their turn.
-const REQUESTS_A_TURN: usize = 32;
-/// A client that has begun a request has so long to finish it.
-const SLOW_CLIENT: Duration = Duration::from_secs(10);
-/// Descriptors kept from clients, for partners, the directory, the ledger and its rewriting.
-const KEPT_SOCKETS: usize = 300;
+/// Descriptors that are neither clients' nor partners': the listeners, the poll, signals, the directory, the
+/// reports, the ledger and its rewriting.
+const KEPT_SOCKETS: usize = 24;
+/// Connections to partners kept idle besides the calls that may be out.
+const IDLE_SOCKETS: usize = 32;
 
 /// What a running sender is made of.
 pub struct Setup {
@@ -58,6 +63,22 @@
     pub known: Vec<Listing>,
     pub push: Option<webpush::File>,
     pub sockets: usize,
+    /// Bytes that the process may use.
+    pub memory: usize,
+    /// Reads the configuration again and tells where the directory is now.
+    pub reread: Option<Reread>,
+}
+
+/// See [`Setup::reread`].
+pub type Reread = Box<dyn FnMut() -> Result<SocketAddr, String> + Send>;
+
+/// What the process is told by signal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Begin the end, as on SIGTERM.
+    Stop,
+    /// Read the configuration again, as on SIGHUP.
+    Reload,
 }
 
 pub struct Reactor {
@@ -72,8 +93,19 @@
     links: BTreeMap<usize, Link>,
     next_link: usize,
     clients_most: usize,
+    partners_most: usize,
+    /// Bytes of requests that have not come whole, over all clients.
+    unread_most: usize,
+    /// Connections closed unserved since the log last told.
+    turned_away: u64,
+    tell_away: Time,
+    reread: Option<Reread>,
+    /// When to read the configuration again, and until when to try.
+    reload: Option<(Time, Time)>,
     discovery: Option<SocketAddr>,
     version: u64,
+    /// The next question to the directory is for the whole list.
+    ask_whole: bool,
     watch_at: Option<Time>,
     watch_asked: Time,
     reports: Reports,
@@ -106,6 +138,15 @@
     }
 }
 
+/// How many connections clients, and partners, may have. Clients get what the calls that may be out leave, but
+/// always enough for the third of the descriptors that their requests may take and as much again for those
+/// who ask nothing.
+fn places(sockets: usize, slots: usize) -> (usize, usize) {
+    let free = sockets.saturating_sub(KEPT_SOCKETS);
+    let clients = free.saturating_sub(slots + IDLE_SOCKETS).clamp(sockets * 9 / 20, sockets * 2 / 3);
+    (clients, free.saturating_sub(clients).max(8))
+}
+
 fn sockets_error(what: &str, address: SocketAddr, e: io::Error) -> String {
     format!("{what} {address}: {e}")
 }
@@ -117,7 +158,8 @@
 impl Reactor {
     /// Takes up what the ledger holds, then listens.
     pub fn new(setup: Setup) -> Result<Reactor, String> {
-        let Setup { mut site, seed, state, listen, discovery, known_version, known, push, sockets } = setup;
+        let Setup { mut site, seed, state, listen, discovery, known_version, known, push, .. } = setup;
+        let (clients_most, partners_most) = places(setup.sockets, site.settings.slots as usize);
         let poll = Poll::new().map_err(|e| format!("poll: {e}"))?;
         let clock = Clock::new();
         let now = clock.now();
@@ -146,9 +188,16 @@
             pushes: None,
             links: BTreeMap::new(),
             next_link: FIRST_LINK,
-            clients_most: sockets.saturating_sub(KEPT_SOCKETS).max(16),
+            clients_most,
+            partners_most,
+            unread_most: setup.memory / 8,
+            turned_away: 0,
+            tell_away: now,
+            reread: setup.reread,
+            reload: None,
             discovery,
             version: known_version,
+            ask_whole: false,
             watch_at: discovery.map(|_| now),
             watch_asked: now,
             reports: Reports::default(),
@@ -166,6 +215,10 @@
         reactor.rewrite_ledger();
         let (held, reports) = reactor.core.owed();
         log::info!("started: {found} records in the ledger, {held} notices held, {reports} reports due");
+        log::info!("places: {clients_most} for clients, {partners_most} for partners");
+        if let Some(address) = discovery {
+            log::info!("directory: at {address}");
+        }
         if let Some(address) = listen {
             reactor.clients = Some(reactor.listen(address, CLIENTS)?);
             log::info!("listening for clients at {}", shown(&reactor.clients));
@@ -211,12 +264,15 @@
         }
     }
 
-    /// Serves until stopped. `signalled` is asked after each wake-up whether to stop.
-    pub fn run(&mut self, mut signalled: impl FnMut() -> bool) -> io::Result<()> {
+    /// Serves until stopped. `orders` is asked after each wake-up what else to do.
+    pub fn run(&mut self, mut orders: impl FnMut() -> Vec<Order>) -> io::Result<()> {
         let mut events = Events::with_capacity(512);
         loop {
-            if signalled() {
-                self.stop();
+            for order in orders() {
+                match order {
+                    Order::Stop => self.stop(),
+                    Order::Reload => self.on_reload(),
+                }
             }
             if self.halted.load(Ordering::Relaxed) {
                 return Ok(());
@@ -273,6 +329,7 @@
         }
         self.wakes.first().copied().into_iter().for_each(&mut consider);
         self.watch_at.into_iter().chain(self.accept_again).for_each(&mut consider);
+        self.reload.iter().for_each(|&(at, _)| consider(at));
         if self.reports.ready() {
             consider(self.report_at);
         }
@@ -296,10 +353,11 @@
             }
             Role::Partner { check: Some(at), .. } => Some(*at + set.connect_timeout),
             Role::Partner { .. } => Some(link.used + self.idle_limit()),
+            Role::Directory if !link.up => Some(link.used + set.connect_timeout),
             Role::Directory => Some(link.used + directory::OVERDUE),
             Role::Closing if !self.reports.idle() => Some(link.used + closing::OVERDUE),
-            Role::Client { busy: false } | Role::Pusher { busy: None, .. } if !link.input.is_empty() => {
-                Some(link.used + SLOW_CLIENT)
+            Role::Client { busy: false } | Role::Pusher { busy: None, .. } => {
+                Some(link.since + door::patience(link))
             }
             Role::Client { .. } | Role::Pusher { .. } | Role::Closing => None,
         }
@@ -379,6 +437,9 @@
                 up,
                 ended: false,
                 used: now,
+                since: now,
+                asked: false,
+                faults: 0,
                 close_after: false,
             },
         );
@@ -391,39 +452,6 @@
         Some(link)
     }
 
-    fn accept(&mut self, token: Token) {
-        loop {
-            let listener = if token == CLIENTS { &self.clients } else { &self.pushes };
-            let Some(listener) = listener else { return };
-            let stream = match listener.accept() {
-                Ok((stream, _)) => stream,
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {
-                    continue;
-                }
-                Err(e) => {
-                    // Out of descriptors: what waits is asked for again, since no event will tell.
-                    log::error!("accept: {e}");
-                    self.accept_again = Some(self.clock.now() + Duration::from_millis(50));
-                    return;
-                }
-            };
-            let from_clients = |l: &&Link| matches!(l.role, Role::Client { .. } | Role::Pusher { .. });
-            if self.links.values().filter(from_clients).count() >= self.clients_most {
-                log::warn!("accept: {} client connections are open; one more is closed", self.clients_most);
-                continue;
-            }
-            let role = match token {
-                CLIENTS => Role::Client { busy: false },
-                _ => Role::Pusher { busy: None, close: false },
-            };
-            match self.add_link(stream, role, true) {
-                Ok(link) => self.pump(link),
-                Err(e) => log::error!("accept: {e}"),
-            }
-        }
-    }
-
     /// Moves bytes on a connection and deals with what has come.
     fn pump(&mut self, id: usize) {
         let Some(link) = self.links.get_mut(&id) else { return };
@@ -435,8 +463,15 @@
         let flushed = link.flush();
         let before = link.input.len();
         link.fill();
-        if link.input.len() > before && !matches!(link.role, Role::Directory) {
-            link.used = self.clock.now();
+        if link.input.len() > before {
+            let now = self.clock.now();
+            if !matches!(link.role, Role::Directory) {
+                link.used = now;
+            }
+            // A request has begun; the first one's time runs from the connecting.
+            if before == 0 && link.asked && link.written_out() {
+                link.since = now;
+            }
         }
         match link.role {
             Role::Client { .. } => self.on_client(id),
@@ -446,340 +481,6 @@
         }
     }
 
-    fn answer(&mut self, id: usize, bytes: Vec<u8>) {
-        let Some(link) = self.links.get_mut(&id) else { return };
-        match &mut link.role {
-            Role::Client { busy } => *busy = false,
-            Role::Pusher { busy, close } => {
-                *busy = None;
-                link.close_after |= *close;
-            }
-            _ => return,
-        }
-        // At the end of the process a connection closes between requests.
-        link.close_after |= self.clients.is_none() && self.pushes.is_none();
-        self.say(id, &bytes);
-        // Not dealt with here: a client that pipelines what is answered at once would have us call ourselves
-        // until the stack is full.
-        self.resume.push(id);
-    }
-
-    /// Queues bytes and writes what goes at once.
-    fn say(&mut self, id: usize, bytes: &[u8]) {
-        let now = self.clock.now();
-        let Some(link) = self.links.get_mut(&id) else { return };
-        if link.written_out() {
-            link.output.clear();
-            link.written = 0;
-        }
-        link.output.extend_from_slice(bytes);
-        link.used = now;
-        if !link.flush() {
-            link.ended = true;
-        }
-    }
-
-    fn on_client(&mut self, id: usize) {
-        for _ in 0..REQUESTS_A_TURN {
-            let Some(link) = self.links.get_mut(&id) else { return };
-            let written = link.written_out();
-            let Role::Client { busy } = &mut link.role else { return };
-            if *busy || !written {
-                return;
-            }
-            if link.close_after {
-                self.drop_link(id);
-                return;
-            }
-            let parsed = clients::parse(&link.input);
-            let request = match parsed {
-                Ok(Some((request, used))) => {
-                    link.input.drain(..used);
-                    request
-                }
-                Ok(None) if link.ended || link.input.len() >= clients::REQUEST_MOST => {
-                    self.drop_link(id);
-                    return;
-                }
-                Ok(None) => return,
-                Err(clients::Broken(why)) => {
-                    log::debug!("client: {why}");
-                    link.close_after = true;
-                    link.input.clear();
-                    self.say(id, &clients::error(why));
-                    continue;
-                }
-            };
-            match request {
-                clients::Request::Ping => self.say(id, b"+PONG\r\n"),
-                clients::Request::Quit => {
-                    link.close_after = true;
-                    self.say(id, b"+OK\r\n");
-                }
-                clients::Request::Unknown(why) => self.say(id, &clients::error(why)),
-                clients::Request::Put { id: name, names, body } => {
-                    // What the ledger can't hold must not be taken on.
-                    let room = self.ledger.as_ref().is_none_or(|l| l.has_room(body.len() + 1024));
-                    match clients::notice(&self.site, id, name, &names, body) {
-                        Ok(notice) if room => {
-                            *busy = true;
-                            self.step(Input::Handed(notice));
-                        }
-                        Ok(_) => {
-                            log::warn!("ledger: full; a notice is refused");
-                            let after = Some(self.site.settings.max_retry_after);
-                            self.say(id, &clients::answer(core::Answer::Refused { after }));
-                        }
-                        Err(why) => self.say(id, &clients::error(why)),
-                    }
-                }
-            }
-            // More may have waited for room in the buffer.
-            if let Some(link) = self.links.get_mut(&id) {
-                link.fill();
-            }
-        }
-        // The rest waits: one client's stream of requests must not keep the others from their turn.
-        self.resume.push(id);
-    }
-
-    fn on_pusher(&mut self, id: usize) {
-        while let Some(link) = self.links.get_mut(&id) {
-            let written = link.written_out();
-            let Role::Pusher { busy, close } = &mut link.role else { return };
-            if let Some(notice) = busy {
-                // Whoever waited has left: nobody would hear of the notice's end.
-                if link.ended {
-                    let notice = std::mem::take(notice);
-                    self.drop_link(id);
-                    self.step(Input::Withdrawn(notice));
-                }
-                return;
-            }
-            if !written {
-                return;
-            }
-            if link.close_after {
-                self.drop_link(id);
-                return;
-            }
-            let request = match http::request(&link.input) {
-                Ok(Some((request, used))) => {
-                    link.input.drain(..used);
-                    request
-                }
-                Ok(None) if link.ended || link.input.len() >= ANSWER_MOST => {
-                    self.drop_link(id);
-                    return;
-                }
-                Ok(None) => {
-                    // RFC 9110: a client that waits for leave to send its body gets it.
-                    let head = String::from_utf8_lossy(&link.input).to_ascii_lowercase();
-                    if head.contains("\r\n\r\n")
-                        && head.contains("expect: 100-continue")
-                        && link.output.is_empty()
-                    {
-                        self.say(id, b"HTTP/1.1 100 Continue\r\n\r\n");
-                    }
-                    return;
-                }
-                Err(wrong) => {
-                    link.close_after = true;
-                    link.input.clear();
-                    let status = if wrong == http::TOO_LARGE { 413 } else { 400 };
-                    self.say(id, &webpush::error(status, wrong.0));
-                    continue;
-                }
-            };
-            *close = request.close;
-            let Some(push) = &mut self.push else { return };
-            match push.accept(request, id, &self.site, self.clock.now()) {
-                Ok(notice) => {
-                    *busy = Some(notice.id.clone());
-                    self.step(Input::Handed(notice));
-                }
-                Err((status, why)) => {
-                    link.close_after |= *close;
-                    self.say(id, &webpush::error(status, why));
-                }
-            }
-        }
-    }
-
-    /// A connection to this endpoint that is free and can be trusted.
-    fn free_link(&mut self, endpoint: &EndpointId, address: &str) -> Option<usize> {
-        let (now, limit) = (self.clock.now(), self.idle_limit());
-        loop {
-            let fits = |l: &Link| match &l.role {
-                Role::Partner { endpoint: e, address: a, call: None, check: None } => {
-                    e == endpoint && a == address && l.up
-                }
-                _ => false,
-            };
-            let (&id, link) = self.links.iter().filter(|(_, l)| fits(l)).max_by_key(|(_, l)| l.used)?;
-            // One that the other side has closed, or may be about to close, would lose what is written to it.
-            let alive = matches!(link.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock);
-            if alive && !link.ended && now - link.used < limit {
-                return Some(id);
-            }
-            self.drop_link(id);
-        }
-    }
-
-    fn connect(&mut self, role: Role, address: &str) -> io::Result<usize> {
-        let address: SocketAddr = address.parse().map_err(|_| ErrorKind::InvalidInput)?;
-        self.add_link(TcpStream::connect(address)?, role, false)
-    }
-
-    fn call(&mut self, endpoint: EndpointId, address: String, attempts: Vec<Attempt>) {
-        let now = self.clock.now();
-        let bytes = match (&mut self.push, attempts.first()) {
-            (Some(push), Some(first)) if first.envelope.is_some() => push.call(&address, first, now),
-            _ => partners::call(&address, &attempts, now),
-        };
-        let ids = attempts.iter().map(|a| a.id.clone()).collect();
-        let out = Out { attempts, ids, started: now };
-        let id = match self.free_link(&endpoint, &address) {
-            Some(id) => id,
-            None => {
-                let role = Role::Partner {
-                    endpoint: endpoint.clone(),
-                    address: address.clone(),
-                    call: None,
-                    check: None,
-                };
-                match self.connect(role, &address) {
-                    Ok(id) => id,
-                    Err(e) => {
-                        log::info!("partner {endpoint} at {address}: {e}");
-                        return self.end_call(out, &Told::all(Status::NoConnection));
-                    }
-                }
-            }
-        };
-        if let Some(link) = self.links.get_mut(&id) {
-            if let Role::Partner { call, .. } = &mut link.role {
-                *call = Some(out);
-            }
-            link.output = bytes;
-            link.written = 0;
-            link.used = now;
-        }
-        self.pump(id);
-    }
-
-    fn check(&mut self, endpoint: EndpointId, address: String) {
-        let now = self.clock.now();
-        let role = Role::Partner {
-            endpoint: endpoint.clone(),
-            address: address.clone(),
-            call: None,
-            check: Some(now),
-        };
-        match self.connect(role, &address) {
-            Ok(id) => {
-                if let Some(link) = self.links.get_mut(&id) {
-                    link.output = http::write_request("GET", "/health", &address, &[], b"");
-                }
-            }
-            Err(_) => self.step(Input::Checked { endpoint, status: Status::NoConnection }),
-        }
-    }
-
-    /// Tells the core how a call ended.
-    fn end_call(&mut self, out: Out, told: &Told) {
-        let now = self.clock.now();
-        let mut ends = Vec::new();
-        for attempt in out.attempts {
-            let place = out.ids.iter().position(|id| *id == attempt.id).unwrap_or(0);
-            let Verdict { status, over } = told
-                .verdicts
-                .get(place)
-                .or(told.verdicts.first())
-                .copied()
-                .unwrap_or(Verdict::of(Status::Error));
-            ends.push(AttemptEnd {
-                id: attempt.id,
-                attempt: attempt.number,
-                status,
-                over,
-                took: now - out.started,
-                told_wait: told.wait,
-                report: told.report,
-            });
-        }
-        self.step(Input::Ended(ends));
-    }
-
-    fn on_partner(&mut self, id: usize, write_broke: bool) {
-        let unix_now = Duration::from_nanos(self.clock.now().0);
-        let Some(link) = self.links.get_mut(&id) else { return };
-        let ended = link.ended || write_broke;
-        let written = link.written_out();
-        let Role::Partner { endpoint, call, check, .. } = &mut link.role else { return };
-        let Some(out) = call else {
-            if check.is_some() {
-                let status = match http::response(&link.input, ended) {
-                    Ok(Some((r, _))) if r.status == 200 => Status::Served,
-                    Ok(Some(_)) => Status::Refused,
-                    Ok(None) if !ended => return,
-                    _ => Status::Reset,
-                };
-                let endpoint = endpoint.clone();
-                self.drop_link(id);
-                return self.step(Input::Checked { endpoint, status });
-            }
-            // Idle: closed by the other side, or talking out of turn.
-            if ended || !link.input.is_empty() {
-                self.drop_link(id);
-            }
-            return;
-        };
-        let push = out.attempts.iter().any(|a| a.envelope.is_some());
-        match http::response(&link.input, ended) {
-            Ok(Some((response, used))) => {
-                let Some(out) = call.take() else { return };
-                let ids: Vec<&str> = out.ids.iter().map(String::as_str).collect();
-                let told = if push {
-                    webpush::read(&response, unix_now)
-                } else {
-                    partners::read(&response, &ids, unix_now)
-                };
-                if let Some(wait) = told.wait {
-                    log::debug!("partner {endpoint}: told to wait {} ms", wait.as_millis());
-                }
-                if let [Verdict { status: Status::Rejected, .. }, ..] = told.verdicts[..] {
-                    log::error!("partner {endpoint}: answered {} to {}", response.status, out.ids[0]);
-                }
-                if response.close || ended || !written || link.input.len() > used {
-                    self.drop_link(id);
-                } else {
-                    link.input.clear();
-                    link.output.clear();
-                    link.written = 0;
-                }
-                self.end_call(out, &told);
-            }
-            Ok(None) if !ended => {}
-            result => {
-                // The first line says it all for one notice; for several, the whole answer would.
-                let told = match http::first_line(&link.input) {
-                    Some(200) if out.ids.len() == 1 => Told {
-                        verdicts: vec![Verdict { status: Status::Served, over: true }],
-                        wait: None,
-                        report: None,
-                    },
-                    _ if !written => Told::all(Status::NoConnection),
-                    _ => Told::all(Status::Reset),
-                };
-                log::debug!("partner {endpoint}: call broken off, {result:?}");
-                let Some(out) = call.take() else { return };
-                self.drop_link(id);
-                self.end_call(out, &told);
-            }
-        }
-    }
-
     /// The connection never came up.
     fn broken(&mut self, id: usize, why: &str) {
         let Some(link) = self.drop_link(id) else { return };
@@ -797,164 +498,6 @@
         }
     }
 
-    fn watch_later(&mut self, why: &str) {
-        log::info!("directory: {why}; the last list is kept");
-        self.watch_at = Some(self.clock.now() + directory::AGAIN);
-    }
-
-    fn report_later(&mut self) {
-        self.reports.lost();
-        self.report_at = self.clock.now() + closing::AGAIN;
-    }
-
-    fn on_platform(&mut self, id: usize, write_broke: bool) {
-        let Some(link) = self.links.get_mut(&id) else { return };
-        let ended = link.ended || write_broke;
-        let watching = matches!(link.role, Role::Directory);
-        match http::response(&link.input, ended) {
-            Ok(Some((response, used))) => {
-                link.input.drain(..used);
-                // A watch that was answered with anything but a list is asked anew on a new connection, later:
-                // the old one must not stay behind as a second watch.
-                let refused = watching && response.status != 200;
-                let reuse = !response.close && !ended && !refused;
-                if !reuse {
-                    self.drop_link(id);
-                }
-                if watching {
-                    let before = self.version;
-                    self.on_list(&response);
-                    // A directory that does not hold the watch would have us ask without end; so soon after, the
-                    // next watch still continues this one.
-                    let now = self.clock.now();
-                    if self.version == before && now - self.watch_asked < directory::AGAIN {
-                        self.watch_at.get_or_insert(now + directory::AGAIN);
-                    }
-                    // The next watch goes at once: within 200 ms it continues this one.
-                    match (reuse, self.watch_at) {
-                        (true, None) => self.watch(Some(id)),
-                        (true, Some(_)) => drop(self.drop_link(id)),
-                        (false, None) => self.watch_at = Some(self.clock.now()),
-                        (false, Some(_)) => {}
-                    }
-                } else {
-                    let told = self.reports.answered(response.status);
-                    if told.is_empty() {
-                        self.report_at = self.clock.now() + closing::AGAIN;
-                    } else {
-                        self.step(Input::Reported(told));
-                    }
-                }
-            }
-            Ok(None) if !ended => {}
-            Ok(None) | Err(_) => {
-                self.broken(id, "the connection ended without an answer");
-            }
-        }
-    }
-
-    fn on_list(&mut self, response: &http::Response) {
-        let read = directory::read(response).and_then(|list| {
-            let (version, whole) = (list.version, list.full);
-            list.into_listings(&self.site).map(|list| (version, whole, list))
-        });
-        match read {
-            Ok((version, whole, mut list)) => {
-                self.version = version;
-                if !list.is_empty() || whole {
-                    log::info!(
-                        "directory: version {version}, {} endpoints{}",
-                        list.len(),
-                        if whole { ", all" } else { " changed" }
-                    );
-                }
-                if whole {
-                    list.extend(self.push.iter().flat_map(Push::listings));
-                }
-                self.step(Input::Listed { whole, list });
-            }
-            Err(why) => self.watch_later(&why),
-        }
-    }
-
-    fn watch(&mut self, link: Option<usize>) {
-        let Some(address) = self.discovery else { return };
-        let host = address.to_string();
-        let bytes = directory::watch(&host, self.version);
-        self.watch_asked = self.clock.now();
-        let id = match link {
-            Some(id) => id,
-            None => match self.connect(Role::Directory, &host) {
-                Ok(id) => id,
-                Err(e) => return self.watch_later(&e.to_string()),
-            },
-        };
-        self.queue(id, bytes);
-    }
-
-    /// Sets a connection's next request; it goes as soon as the connection is up.
-    fn queue(&mut self, id: usize, bytes: Vec<u8>) {
-        let now = self.clock.now();
-        if let Some(link) = self.links.get_mut(&id) {
-            (link.output, link.written, link.used) = (bytes, 0, now);
-            if link.up && !link.flush() {
-                link.ended = true;
-            }
-        }
-    }
-
-    fn send_reports(&mut self) {
-        let Some(address) = self.discovery else { return };
-        let now = self.clock.now();
-        if !self.reports.ready() || now < self.report_at {
-            return;
-        }
-        let host = address.to_string();
-        let open =
-            self.links.iter().find(|(_, l)| matches!(l.role, Role::Closing) && !l.ended).map(|(&id, _)| id);
-        let id = match open {
-            Some(id) => id,
-            None => match self.connect(Role::Closing, &host) {
-                Ok(id) => id,
-                Err(e) => {
-                    log::info!("closing: {e}");
-                    return self.report_later();
-                }
-            },
-        };
-        if let Some(bytes) = self.reports.next(&host) {
-            self.queue(id, bytes);
-        }
-    }
-
-    /// Ends calls of which nothing has been written yet: they would arrive inside a told wait, or at an
-    /// endpoint that drains or is gone.
-    fn hold_back(&mut self, endpoints: &[EndpointId]) {
-        let waits = |l: &Link| match &l.role {
-            Role::Partner { endpoint, call: Some(_), .. } => l.written == 0 && endpoints.contains(endpoint),
-            _ => false,
-        };
-        let ids: Vec<usize> = self.links.iter().filter(|(_, l)| waits(l)).map(|(&id, _)| id).collect();
-        for id in ids {
-            let Some(link) = self.links.get_mut(&id) else { continue };
-            link.output.clear();
-            if let Role::Partner { call, .. } = &mut link.role
-                && let Some(out) = call.take()
-            {
-                self.end_call(out, &Told::all(Status::NotSent));
-            }
-        }
-    }
-
-    fn close_idle(&mut self, endpoint: &EndpointId) {
-        let idle = |l: &Link| match &l.role {
-            Role::Partner { endpoint: e, call: None, check: None, .. } => e == endpoint,
-            _ => false,
-        };
-        let ids: Vec<usize> = self.links.iter().filter(|(_, l)| idle(l)).map(|(&id, _)| id).collect();
-        ids.into_iter().for_each(|id| drop(self.drop_link(id)));
-    }
-
     fn timers(&mut self) {
         let now = self.clock.now();
         if self.accept_again.take_if(|t| *t <= now).is_some() {
@@ -965,6 +508,9 @@
             self.wakes.pop_first();
             self.step(Input::Due);
         }
+        if self.reload.is_some_and(|(at, _)| at <= now) {
+            self.read_again();
+        }
         if self.watch_at.take_if(|t| *t <= now).is_some() {
             self.watch(None);
         }
@@ -1012,7 +558,8 @@
                 self.broken(id, "no answer in time");
             }
             Role::Directory | Role::Closing => self.broken(id, "no answer in time"),
-            Role::Partner { .. } | Role::Client { .. } | Role::Pusher { .. } => {
+            Role::Client { .. } | Role::Pusher { .. } => self.out_of_patience(id),
+            Role::Partner { .. } => {
                 self.drop_link(id);
             }
         }
@@ -1036,12 +583,7 @@
             let ids: Vec<usize> = self.links.keys().copied().collect();
             for id in ids {
                 self.pump(id);
-                let free = |l: &Link| match l.role {
-                    Role::Client { busy } => !busy && l.input.is_empty() && l.written_out(),
-                    Role::Pusher { ref busy, .. } => busy.is_none() && l.input.is_empty() && l.written_out(),
-                    _ => false,
-                };
-                if self.links.get(&id).is_some_and(free) {
+                if self.links.get(&id).is_some_and(|l| door::free(l) && l.input.is_empty()) {
                     self.drop_link(id);
                 }
             }
--- /dev/null
+++ b/crates/cranehill/src/reactor/calls.rs
@@ -0,0 +1,216 @@
+//! Partners: their connections, and the calls out on them.
+
+use super::*;
+
+impl Reactor {
+    /// Ends calls of which nothing has been written yet: they would arrive inside a told wait, or at an
+    /// endpoint that drains or is gone.
+    pub(super) fn hold_back(&mut self, endpoints: &[EndpointId]) {
+        let waits = |l: &Link| match &l.role {
+            Role::Partner { endpoint, call: Some(_), .. } => l.written == 0 && endpoints.contains(endpoint),
+            _ => false,
+        };
+        let ids: Vec<usize> = self.links.iter().filter(|(_, l)| waits(l)).map(|(&id, _)| id).collect();
+        for id in ids {
+            let Some(link) = self.links.get_mut(&id) else { continue };
+            link.output.clear();
+            if let Role::Partner { call, .. } = &mut link.role
+                && let Some(out) = call.take()
+            {
+                self.end_call(out, &Told::all(Status::NotSent));
+            }
+        }
+    }
+
+    pub(super) fn close_idle(&mut self, endpoint: &EndpointId) {
+        let idle = |l: &Link| match &l.role {
+            Role::Partner { endpoint: e, call: None, check: None, .. } => e == endpoint,
+            _ => false,
+        };
+        let ids: Vec<usize> = self.links.iter().filter(|(_, l)| idle(l)).map(|(&id, _)| id).collect();
+        ids.into_iter().for_each(|id| drop(self.drop_link(id)));
+    }
+
+    /// A connection to this endpoint that is free and can be trusted.
+    pub(super) fn free_link(&mut self, endpoint: &EndpointId, address: &str) -> Option<usize> {
+        let (now, limit) = (self.clock.now(), self.idle_limit());
+        loop {
+            let fits = |l: &Link| match &l.role {
+                Role::Partner { endpoint: e, address: a, call: None, check: None } => {
+                    e == endpoint && a == address && l.up
+                }
+                _ => false,
+            };
+            let (&id, link) = self.links.iter().filter(|(_, l)| fits(l)).max_by_key(|(_, l)| l.used)?;
+            // One that the other side has closed, or may be about to close, would lose what is written to it.
+            let alive = matches!(link.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock);
+            if alive && !link.ended && now - link.used < limit {
+                return Some(id);
+            }
+            self.drop_link(id);
+        }
+    }
+
+    pub(super) fn connect(&mut self, role: Role, address: &str) -> io::Result<usize> {
+        let address: SocketAddr = address.parse().map_err(|_| ErrorKind::InvalidInput)?;
+        // Descriptors are few: an idle connection makes room for one that is needed.
+        if matches!(role, Role::Partner { .. }) {
+            let partners = |l: &&Link| matches!(l.role, Role::Partner { .. });
+            let idle = |l: &Link| matches!(l.role, Role::Partner { call: None, check: None, .. });
+            if self.links.values().filter(partners).count() >= self.partners_most {
+                let longest = self.links.iter().filter(|(_, l)| idle(l)).min_by_key(|(_, l)| l.used);
+                longest.map(|(&id, _)| id).into_iter().for_each(|id| drop(self.drop_link(id)));
+            }
+        }
+        self.add_link(TcpStream::connect(address)?, role, false)
+    }
+
+    pub(super) fn call(&mut self, endpoint: EndpointId, address: String, attempts: Vec<Attempt>) {
+        let now = self.clock.now();
+        let bytes = match (&mut self.push, attempts.first()) {
+            (Some(push), Some(first)) if first.envelope.is_some() => push.call(&address, first, now),
+            _ => partners::call(&address, &attempts, now),
+        };
+        let ids = attempts.iter().map(|a| a.id.clone()).collect();
+        let out = Out { attempts, ids, started: now };
+        let id = match self.free_link(&endpoint, &address) {
+            Some(id) => id,
+            None => {
+                let role = Role::Partner {
+                    endpoint: endpoint.clone(),
+                    address: address.clone(),
+                    call: None,
+                    check: None,
+                };
+                match self.connect(role, &address) {
+                    Ok(id) => id,
+                    Err(e) => {
+                        log::info!("partner {endpoint} at {address}: {e}");
+                        return self.end_call(out, &Told::all(Status::NoConnection));
+                    }
+                }
+            }
+        };
+        if let Some(link) = self.links.get_mut(&id) {
+            if let Role::Partner { call, .. } = &mut link.role {
+                *call = Some(out);
+            }
+            link.output = bytes;
+            link.written = 0;
+            link.used = now;
+        }
+        self.pump(id);
+    }
+
+    pub(super) fn check(&mut self, endpoint: EndpointId, address: String) {
+        let now = self.clock.now();
+        let role = Role::Partner {
+            endpoint: endpoint.clone(),
+            address: address.clone(),
+            call: None,
+            check: Some(now),
+        };
+        match self.connect(role, &address) {
+            Ok(id) => {
+                if let Some(link) = self.links.get_mut(&id) {
+                    link.output = http::write_request("GET", "/health", &address, &[], b"");
+                }
+            }
+            Err(_) => self.step(Input::Checked { endpoint, status: Status::NoConnection }),
+        }
+    }
+
+    /// Tells the core how a call ended.
+    pub(super) fn end_call(&mut self, out: Out, told: &Told) {
+        let now = self.clock.now();
+        let mut ends = Vec::new();
+        for attempt in out.attempts {
+            let place = out.ids.iter().position(|id| *id == attempt.id).unwrap_or(0);
+            let Verdict { status, over } = told
+                .verdicts
+                .get(place)
+                .or(told.verdicts.first())
+                .copied()
+                .unwrap_or(Verdict::of(Status::Error));
+            ends.push(AttemptEnd {
+                id: attempt.id,
+                attempt: attempt.number,
+                status,
+                over,
+                took: now - out.started,
+                told_wait: told.wait,
+                report: told.report,
+            });
+        }
+        self.step(Input::Ended(ends));
+    }
+
+    pub(super) fn on_partner(&mut self, id: usize, write_broke: bool) {
+        let unix_now = Duration::from_nanos(self.clock.now().0);
+        let Some(link) = self.links.get_mut(&id) else { return };
+        let ended = link.ended || write_broke;
+        let written = link.written_out();
+        let Role::Partner { endpoint, call, check, .. } = &mut link.role else { return };
+        let Some(out) = call else {
+            if check.is_some() {
+                let status = match http::response(&link.input, ended) {
+                    Ok(Some((r, _))) if r.status == 200 => Status::Served,
+                    Ok(Some(_)) => Status::Refused,
+                    Ok(None) if !ended => return,
+                    _ => Status::Reset,
+                };
+                let endpoint = endpoint.clone();
+                self.drop_link(id);
+                return self.step(Input::Checked { endpoint, status });
+            }
+            // Idle: closed by the other side, or talking out of turn.
+            if ended || !link.input.is_empty() {
+                self.drop_link(id);
+            }
+            return;
+        };
+        let push = out.attempts.iter().any(|a| a.envelope.is_some());
+        match http::response(&link.input, ended) {
+            Ok(Some((response, used))) => {
+                let Some(out) = call.take() else { return };
+                let ids: Vec<&str> = out.ids.iter().map(String::as_str).collect();
+                let told = if push {
+                    webpush::read(&response, unix_now)
+                } else {
+                    partners::read(&response, &ids, unix_now)
+                };
+                if let Some(wait) = told.wait {
+                    log::debug!("partner {endpoint}: told to wait {} ms", wait.as_millis());
+                }
+                if let [Verdict { status: Status::Rejected, .. }, ..] = told.verdicts[..] {
+                    log::error!("partner {endpoint}: answered {} to {}", response.status, out.ids[0]);
+                }
+                if response.close || ended || !written || link.input.len() > used {
+                    self.drop_link(id);
+                } else {
+                    link.input.clear();
+                    link.output.clear();
+                    link.written = 0;
+                }
+                self.end_call(out, &told);
+            }
+            Ok(None) if !ended => {}
+            result => {
+                // The first line says it all for one notice; for several, the whole answer would.
+                let told = match http::first_line(&link.input) {
+                    Some(200) if out.ids.len() == 1 => Told {
+                        verdicts: vec![Verdict { status: Status::Served, over: true }],
+                        wait: None,
+                        report: None,
+                    },
+                    _ if !written => Told::all(Status::NoConnection),
+                    _ => Told::all(Status::Reset),
+                };
+                log::debug!("partner {endpoint}: call broken off, {result:?}");
+                let Some(out) = call.take() else { return };
+                self.drop_link(id);
+                self.end_call(out, &told);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cranehill/src/reactor/door.rs
@@ -0,0 +1,294 @@
+//! Those who hand notices in, over either front: their connections, and how much of us one of them gets.
+
+use super::*;
+
+/// Requests of one client that are dealt with before others have their turn.
+const REQUESTS_A_TURN: usize = 16;
+/// Connections taken in one turn; the rest wait in the system's queue.
+const ACCEPTS_A_TURN: usize = 64;
+/// A connection's first request is here within this, or the connection ends: callers come to hand something
+/// in, and those who only hold a place must not keep the others out.
+const FIRST_REQUEST: Duration = Duration::from_millis(2200);
+/// A further request that has begun is whole, and an answer is read, within this.
+const SLOW_CLIENT: Duration = Duration::from_secs(2);
+/// A connection that has asked and asks no more is kept so long.
+const IDLE_CLIENT: Duration = Duration::from_secs(4);
+/// Errors that one connection gets before it ends.
+const FAULTS_MOST: u32 = 16;
+/// A request that has not come whole is much from here on.
+const MUCH: usize = 8 * 1024;
+
+/// How long we wait for a client from [`Link::since`] on.
+pub(super) fn patience(link: &Link) -> Duration {
+    match () {
+        () if !link.written_out() => SLOW_CLIENT,
+        () if !link.asked => FIRST_REQUEST,
+        () if !link.input.is_empty() => SLOW_CLIENT,
+        () => IDLE_CLIENT,
+    }
+}
+
+/// Whether nothing is open on a client's connection, so that it may end at any time.
+pub(super) fn free(link: &Link) -> bool {
+    let waits = matches!(link.role, Role::Client { busy: false } | Role::Pusher { busy: None, .. });
+    waits && link.written_out()
+}
+
+impl Reactor {
+    pub(super) fn accept(&mut self, token: Token) {
+        for _ in 0..ACCEPTS_A_TURN {
+            let listener = if token == CLIENTS { &self.clients } else { &self.pushes };
+            let Some(listener) = listener else { return };
+            let stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {
+                    continue;
+                }
+                Err(e) => {
+                    // Out of descriptors: what waits is asked for again, since no event will tell.
+                    log::error!("accept: {e}");
+                    self.accept_again = Some(self.clock.now() + Duration::from_millis(50));
+                    return;
+                }
+            };
+            if !self.make_place() {
+                continue;
+            }
+            let role = match token {
+                CLIENTS => Role::Client { busy: false },
+                _ => Role::Pusher { busy: None, close: false },
+            };
+            match self.add_link(stream, role, true) {
+                Ok(link) => self.pump(link),
+                Err(e) => log::error!("accept: {e}"),
+            }
+        }
+        // No further event tells of those who still wait.
+        self.accept_again = Some(self.clock.now());
+    }
+
+    /// Guards the places against those who connect and ask nothing, or ask once and stay: when all are taken,
+    /// the connection least likely to be used ends. False if each has a request open.
+    fn make_place(&mut self) -> bool {
+        let from_clients = |l: &&Link| matches!(l.role, Role::Client { .. } | Role::Pusher { .. });
+        if self.links.values().filter(from_clients).count() < self.clients_most {
+            return true;
+        }
+        let idlest = self.links.iter().filter(|(_, l)| free(l)).min_by_key(|(_, l)| (l.asked, l.since));
+        let found = idlest.map(|(&id, _)| id);
+        self.turned_away += 1;
+        let now = self.clock.now();
+        // One line a second: a flood must not become a flood of lines.
+        if now >= self.tell_away {
+            log::warn!("accept: all {} places taken; {} closed", self.clients_most, self.turned_away);
+            self.tell_away = now + Duration::from_secs(1);
+            self.turned_away = 0;
+        }
+        found.and_then(|id| self.drop_link(id)).is_some()
+    }
+
+    /// A client has had its time. One that began a request is told why it ends.
+    pub(super) fn out_of_patience(&mut self, id: usize) {
+        if let Some(link) = self.links.get(&id).filter(|l| l.written_out() && !l.input.is_empty()) {
+            let bytes = match link.role {
+                Role::Client { .. } => clients::error("the request did not come whole in time"),
+                _ => webpush::error(408, "the request did not come whole in time"),
+            };
+            self.say(id, &bytes);
+        }
+        self.drop_link(id);
+    }
+
+    pub(super) fn answer(&mut self, id: usize, bytes: Vec<u8>) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        match &mut link.role {
+            Role::Client { busy } => *busy = false,
+            Role::Pusher { busy, close } => {
+                *busy = None;
+                link.close_after |= *close;
+            }
+            _ => return,
+        }
+        // At the end of the process a connection closes between requests.
+        link.close_after |= self.clients.is_none() && self.pushes.is_none();
+        self.say(id, &bytes);
+        // Not dealt with here: a client that pipelines what is answered at once would have us call ourselves
+        // until the stack is full.
+        self.resume.push(id);
+    }
+
+    /// Queues bytes and writes what goes at once.
+    pub(super) fn say(&mut self, id: usize, bytes: &[u8]) {
+        let now = self.clock.now();
+        let Some(link) = self.links.get_mut(&id) else { return };
+        if link.written_out() {
+            link.output.clear();
+            link.written = 0;
+        }
+        link.output.extend_from_slice(bytes);
+        (link.used, link.since) = (now, now);
+        if !link.flush() {
+            // Nobody will read it: without this the connection would wait for ever to be written to.
+            link.ended = true;
+            link.output.clear();
+            link.written = 0;
+        }
+    }
+
+    pub(super) fn on_client(&mut self, id: usize) {
+        for _ in 0..REQUESTS_A_TURN {
+            let Some(link) = self.links.get_mut(&id) else { return };
+            let written = link.written_out();
+            let Role::Client { busy } = &mut link.role else { return };
+            if *busy || !written {
+                return;
+            }
+            if link.close_after {
+                self.drop_link(id);
+                return;
+            }
+            let parsed = clients::parse(&link.input);
+            let request = match parsed {
+                Ok(Some((request, used))) => {
+                    consume(&mut link.input, used);
+                    link.asked = true;
+                    request
+                }
+                Ok(None) if link.ended || link.input.len() >= clients::REQUEST_MOST => {
+                    self.drop_link(id);
+                    return;
+                }
+                Ok(None) => return self.check_unread(id),
+                Err(clients::Broken(why)) => {
+                    log::debug!("client: {why}");
+                    link.close_after = true;
+                    link.input.clear();
+                    self.say(id, &clients::error(why));
+                    continue;
+                }
+            };
+            let wrong = match request {
+                clients::Request::Ping => {
+                    self.say(id, b"+PONG\r\n");
+                    None
+                }
+                clients::Request::Quit => {
+                    link.close_after = true;
+                    self.say(id, b"+OK\r\n");
+                    None
+                }
+                clients::Request::Unknown(why) => Some(why),
+                clients::Request::Put { id: name, names, body } => {
+                    // What the ledger can't hold must not be taken on.
+                    let room = self.ledger.as_ref().is_none_or(|l| l.has_room(body.len() + 1024));
+                    match clients::notice(&self.site, id, name, &names, body) {
+                        // Taken on, it could only be given up: nobody knows where it should go.
+                        Ok(notice) if !self.core.knows(notice.partner) => Some("destination not known"),
+                        Ok(notice) if room => {
+                            *busy = true;
+                            self.step(Input::Handed(notice));
+                            None
+                        }
+                        Ok(_) => {
+                            log::warn!("ledger: full; a notice is refused");
+                            let after = Some(self.site.settings.max_retry_after);
+                            self.say(id, &clients::answer(core::Answer::Refused { after }));
+                            None
+                        }
+                        Err(why) => Some(why),
+                    }
+                }
+            };
+            if let Some(why) = wrong {
+                if let Some(link) = self.links.get_mut(&id) {
+                    link.faults += 1;
+                    // Who sends nothing else would have us answer at its full speed.
+                    link.close_after |= link.faults >= FAULTS_MOST;
+                }
+                self.say(id, &clients::error(why));
+            }
+            // More may have waited for room in the buffer.
+            if let Some(link) = self.links.get_mut(&id) {
+                link.fill();
+            }
+        }
+        // The rest waits: one client's stream of requests must not keep the others from their turn.
+        self.resume.push(id);
+    }
+
+    /// Guards memory against many clients that each leave a large request unfinished.
+    fn check_unread(&mut self, id: usize) {
+        let much = self.links.get(&id).is_some_and(|l| l.input.len() > MUCH);
+        let client = |l: &&Link| matches!(l.role, Role::Client { .. } | Role::Pusher { .. });
+        let unread = || self.links.values().filter(client).map(|l| l.input.capacity()).sum::<usize>();
+        if much && unread() > self.unread_most {
+            log::info!("client: too much unfinished; one that sends more is closed");
+            self.out_of_patience(id);
+        }
+    }
+
+    pub(super) fn on_pusher(&mut self, id: usize) {
+        while let Some(link) = self.links.get_mut(&id) {
+            let written = link.written_out();
+            let Role::Pusher { busy, close } = &mut link.role else { return };
+            if let Some(notice) = busy {
+                // Whoever waited has left: nobody would hear of the notice's end.
+                if link.ended {
+                    let notice = std::mem::take(notice);
+                    self.drop_link(id);
+                    self.step(Input::Withdrawn(notice));
+                }
+                return;
+            }
+            if !written {
+                return;
+            }
+            if link.close_after {
+                self.drop_link(id);
+                return;
+            }
+            let request = match http::request(&link.input) {
+                Ok(Some((request, used))) => {
+                    consume(&mut link.input, used);
+                    link.asked = true;
+                    request
+                }
+                Ok(None) if link.ended || link.input.len() >= ANSWER_MOST => {
+                    self.drop_link(id);
+                    return;
+                }
+                Ok(None) => {
+                    // RFC 9110: a client that waits for leave to send its body gets it.
+                    let head = String::from_utf8_lossy(&link.input).to_ascii_lowercase();
+                    if head.contains("\r\n\r\n")
+                        && head.contains("expect: 100-continue")
+                        && link.output.is_empty()
+                    {
+                        self.say(id, b"HTTP/1.1 100 Continue\r\n\r\n");
+                    }
+                    return self.check_unread(id);
+                }
+                Err(wrong) => {
+                    link.close_after = true;
+                    link.input.clear();
+                    let status = if wrong == http::TOO_LARGE { 413 } else { 400 };
+                    self.say(id, &webpush::error(status, wrong.0));
+                    continue;
+                }
+            };
+            *close = request.close;
+            let Some(push) = &mut self.push else { return };
+            match push.accept(request, id, &self.site, self.clock.now()) {
+                Ok(notice) => {
+                    *busy = Some(notice.id.clone());
+                    self.step(Input::Handed(notice));
+                }
+                Err((status, why)) => {
+                    link.close_after |= *close;
+                    self.say(id, &webpush::error(status, why));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/cranehill/src/reactor/platform.rs
@@ -0,0 +1,185 @@
+//! The platform: the directory's watch, the closing reports, and where both are.
+
+use super::*;
+
+/// A configuration that can't be read is read again so soon, for so long.
+const RELOAD_AGAIN: Duration = Duration::from_millis(100);
+const RELOAD_MOST: Duration = Duration::from_millis(1500);
+
+impl Reactor {
+    pub(super) fn watch_later(&mut self, why: &str) {
+        log::info!("directory: {why}; the last list is kept");
+        self.watch_at = Some(self.clock.now() + directory::AGAIN);
+    }
+
+    pub(super) fn report_later(&mut self) {
+        self.reports.lost();
+        self.report_at = self.clock.now() + closing::AGAIN;
+    }
+
+    pub(super) fn on_platform(&mut self, id: usize, write_broke: bool) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        let ended = link.ended || write_broke;
+        let watching = matches!(link.role, Role::Directory);
+        match http::response(&link.input, ended) {
+            Ok(Some((response, used))) => {
+                link.input.drain(..used);
+                // A watch that was answered with anything but a list is asked anew on a new connection, later:
+                // the old one must not stay behind as a second watch.
+                let refused = watching && response.status != 200;
+                let reuse = !response.close && !ended && !refused;
+                if !reuse {
+                    self.drop_link(id);
+                }
+                if watching {
+                    let (before, whole) = (self.version, self.ask_whole);
+                    self.on_list(&response);
+                    // A directory that does not hold the watch would have us ask without end; so soon after, the
+                    // next watch still continues this one.
+                    let now = self.clock.now();
+                    if !whole && self.version == before && now - self.watch_asked < directory::AGAIN {
+                        self.watch_at.get_or_insert(now + directory::AGAIN);
+                    }
+                    // The next watch goes at once: within 200 ms it continues this one.
+                    match (reuse, self.watch_at) {
+                        (true, None) => self.watch(Some(id)),
+                        (true, Some(_)) => drop(self.drop_link(id)),
+                        (false, None) => self.watch_at = Some(self.clock.now()),
+                        (false, Some(_)) => {}
+                    }
+                } else {
+                    let told = self.reports.answered(response.status);
+                    if told.is_empty() {
+                        self.report_at = self.clock.now() + closing::AGAIN;
+                    } else {
+                        self.step(Input::Reported(told));
+                    }
+                }
+            }
+            Ok(None) if !ended => {}
+            Ok(None) | Err(_) => {
+                self.broken(id, "the connection ended without an answer");
+            }
+        }
+    }
+
+    pub(super) fn on_list(&mut self, response: &http::Response) {
+        let read = directory::read(response).and_then(|list| {
+            let (version, whole) = (list.version, list.full);
+            list.into_listings(&self.site).map(|list| (version, whole, list))
+        });
+        match read {
+            Ok((version, whole, mut list)) => {
+                self.version = version;
+                self.ask_whole = false;
+                if !list.is_empty() || whole {
+                    log::info!(
+                        "directory: version {version}, {} endpoints{}",
+                        list.len(),
+                        if whole { ", all" } else { " changed" }
+                    );
+                }
+                if whole {
+                    list.extend(self.push.iter().flat_map(Push::listings));
+                }
+                self.step(Input::Listed { whole, list });
+            }
+            Err(why) => self.watch_later(&why),
+        }
+    }
+
+    pub(super) fn watch(&mut self, link: Option<usize>) {
+        let Some(address) = self.discovery else { return };
+        let host = address.to_string();
+        let bytes =
+            if self.ask_whole { directory::whole(&host) } else { directory::watch(&host, self.version) };
+        self.watch_asked = self.clock.now();
+        let id = match link {
+            Some(id) => id,
+            None => match self.connect(Role::Directory, &host) {
+                Ok(id) => id,
+                Err(e) => return self.watch_later(&e.to_string()),
+            },
+        };
+        self.queue(id, bytes);
+    }
+
+    /// Sets a connection's next request; it goes as soon as the connection is up.
+    pub(super) fn queue(&mut self, id: usize, bytes: Vec<u8>) {
+        let now = self.clock.now();
+        if let Some(link) = self.links.get_mut(&id) {
+            (link.output, link.written, link.used) = (bytes, 0, now);
+            if link.up && !link.flush() {
+                link.ended = true;
+            }
+        }
+    }
+
+    pub(super) fn send_reports(&mut self) {
+        let Some(address) = self.discovery else { return };
+        let now = self.clock.now();
+        if !self.reports.ready() || now < self.report_at {
+            return;
+        }
+        let host = address.to_string();
+        let open =
+            self.links.iter().find(|(_, l)| matches!(l.role, Role::Closing) && !l.ended).map(|(&id, _)| id);
+        let id = match open {
+            Some(id) => id,
+            None => match self.connect(Role::Closing, &host) {
+                Ok(id) => id,
+                Err(e) => {
+                    log::info!("closing: {e}");
+                    return self.report_later();
+                }
+            },
+        };
+        if let Some(bytes) = self.reports.next(&host) {
+            self.queue(id, bytes);
+        }
+    }
+
+    /// SIGHUP: the configuration has been replaced.
+    pub(super) fn on_reload(&mut self) {
+        let now = self.clock.now();
+        log::info!("reload: asked for");
+        self.reload = Some((now, now + RELOAD_MOST));
+    }
+
+    /// Reads the configuration again. A file that is being replaced may be found half written, so it is read
+    /// anew for a while before the old one is kept.
+    pub(super) fn read_again(&mut self) {
+        let Some((_, until)) = self.reload.take() else { return };
+        let Some(reread) = &mut self.reread else { return };
+        let now = self.clock.now();
+        match reread() {
+            Ok(address) => self.move_platform(address),
+            Err(why) if now < until => {
+                log::info!("reload: {why}; read again");
+                self.reload = Some((now + RELOAD_AGAIN, until));
+            }
+            Err(why) => log::error!("reload: {why}; the old configuration is kept"),
+        }
+    }
+
+    /// The directory is at another address from now on: watch and closing reports go there, and what the old
+    /// one has not answered goes again. The last list is kept until the new one has told all of its own; its
+    /// versions need not go on from the old one's.
+    fn move_platform(&mut self, address: SocketAddr) {
+        if self.discovery == Some(address) {
+            log::info!("reload: the directory stays at {address}");
+            return;
+        }
+        log::info!("reload: the directory is at {address} now");
+        let now = self.clock.now();
+        let platform = |l: &Link| matches!(l.role, Role::Directory | Role::Closing);
+        let old: Vec<usize> = self.links.iter().filter(|(_, l)| platform(l)).map(|(&id, _)| id).collect();
+        old.into_iter().for_each(|id| drop(self.drop_link(id)));
+        self.reports.lost();
+        self.report_at = now;
+        self.discovery = Some(address);
+        self.ask_whole = true;
+        self.watch_at = None;
+        self.watch(None);
+    }
+}
--- a/crates/cranehill/src/rehearsal.rs
+++ b/crates/cranehill/src/rehearsal.rs
@@ -369,6 +369,8 @@
         known: Vec::new(),
         push: Some(file),
         sockets: 1024,
+        memory: 192_000_000,
+        reread: None,
     }
 }
 
@@ -381,7 +383,7 @@
     let mut reactor = Reactor::new(push_setup(stand_in.address, None))?;
     let address = reactor.addresses().1.ok_or("the sender does not listen")?;
     let halter = reactor.halter().map_err(|e| e.to_string())?;
-    let running = thread::spawn(move || reactor.run(|| false));
+    let running = thread::spawn(move || reactor.run(Vec::new));
     let ends: Ends = Arc::default();
     let mut report = Report::default();
     let mut posts = Vec::new();
--- a/crates/cranehill/src/webpush.rs
+++ b/crates/cranehill/src/webpush.rs
@@ -338,6 +338,7 @@
     let reason = match status {
         400 => "Bad Request",
         404 => "Not Found",
+        408 => "Request Timeout",
         405 => "Method Not Allowed",
         413 => "Content Too Large",
         _ => "Service Unavailable",
--- a/crates/cranehill/tests/clients.rs
+++ b/crates/cranehill/tests/clients.rs
@@ -52,3 +52,66 @@
     other.send(b"*1\r\n$4\r\nPING\r\n");
     assert_eq!(other.line(), "+PONG");
 }
+
+#[test]
+fn those_who_ask_once_or_nothing_and_stay_do_not_keep_others_out() {
+    let partner = StandIn::new(|_, _| Reply::status(200)).expect("partner");
+    let platform = platform();
+    // So few descriptors as the smallest deployment has.
+    let sender = start_with(&list(1, &[("a", partner.address, 7, "station")]), &platform, 256);
+    let mut kept = Vec::new();
+    for n in 0..400 {
+        let mut client = Client::new(sender.clients);
+        if n % 2 == 0 {
+            client.send(b"*1\r\n$4\r\nPING\r\n");
+            assert_eq!(client.line(), "+PONG", "connection {n}");
+        }
+        kept.push(client);
+    }
+    let mut usual = Client::new(sender.clients);
+    assert_eq!(usual.put("m1", "c=episode-notice,d=20000,k=aa,dest=7", b"x"), "+OK");
+    assert!(partner.wait_for(1, SOON));
+}
+
+#[test]
+fn the_silent_and_the_half_sent_end_by_themselves() {
+    let platform = platform();
+    let sender = start(&list(1, &[]), &platform);
+    let mut silent = Client::new(sender.clients);
+    let mut half = Client::new(sender.clients);
+    half.send(b"*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n");
+    assert_eq!(silent.line(), "<end>");
+    assert_eq!(half.line(), "-ERR the request did not come whole in time");
+    assert_eq!(half.line(), "<end>");
+}
+
+#[test]
+fn what_can_not_be_used_is_never_taken_on_and_its_sender_is_cut_off_in_the_end() {
+    let partner = StandIn::new(|_, _| Reply::status(200)).expect("partner");
+    let platform = platform();
+    let sender = start(&list(1, &[("a", partner.address, 7, "station")]), &platform);
+    let mut client = Client::new(sender.clients);
+    let wrong = [
+        "c=episode-notice,d=8000,k=aa,dest=99",
+        "c=nothing,d=8000,k=aa,dest=7",
+        "c=episode-notice,d=soon,k=aa,dest=7",
+        "c=episode-notice,d=-5,k=aa,dest=7",
+        "c=episode-notice,d=,k=aa,dest=7",
+        "c=episode-notice,k=aa,dest=7",
+        "c=episode-notice,d=8000,k=aa",
+    ];
+    for names in wrong {
+        let line = client.put("m1", names, b"x");
+        assert!(line.starts_with("-ERR "), "{names}: {line}");
+    }
+    let line = client.put("", "c=episode-notice,d=8000,k=aa,dest=7", b"x");
+    assert!(line.starts_with("-ERR "), "no id: {line}");
+    // Hundreds at once get errors or the end, not an answer each for ever.
+    let mut flood = Client::new(sender.clients);
+    flood.send(&put("m2", wrong[0], b"x").repeat(300));
+    let errors = (0..300).take_while(|_| flood.line().starts_with("-ERR")).count();
+    assert!(errors < 300, "cut off");
+    assert_eq!(client.put("m3", "c=episode-notice,d=8000,k=aa,dest=7", b"x"), "+OK");
+    assert!(partner.wait_for(1, SOON));
+    assert_eq!(partner.seen().len(), 1);
+}
--- a/crates/cranehill/tests/common/mod.rs
+++ b/crates/cranehill/tests/common/mod.rs
@@ -71,6 +71,11 @@
 }
 
 pub fn start(known: &str, platform: &StandIn) -> Running {
+    start_with(known, platform, 1024)
+}
+
+/// With so many descriptors.
+pub fn start_with(known: &str, platform: &StandIn, sockets: usize) -> Running {
     let config = config(known, platform.address);
     let mut reactor = Reactor::new(Setup {
         site: config.site,
@@ -81,12 +86,14 @@
         known_version: config.known_version,
         known: config.known,
         push: None,
-        sockets: 1024,
+        sockets,
+        memory: 192_000_000,
+        reread: None,
     })
     .expect("the sender starts");
     let clients = reactor.addresses().0.expect("it listens");
     let halter = reactor.halter().expect("halter");
-    std::thread::spawn(move || reactor.run(|| false));
+    std::thread::spawn(move || reactor.run(Vec::new));
     Running { clients, halter }
 }
 
--- a/crates/cranehill/tests/restart.rs
+++ b/crates/cranehill/tests/restart.rs
@@ -95,7 +95,7 @@
 }
 
 #[test]
-fn a_notice_whose_partner_is_not_listed_is_closed_after_a_kill_and_reported_until_taken() {
+fn a_notice_whose_partner_is_out_is_closed_after_a_kill_and_reported_until_taken() {
     let folder = tempfile::tempdir().expect("a folder");
     let folder = folder.path();
     // The platform takes the report at the second try only.
@@ -106,7 +106,7 @@
         _ => Reply::status(204),
     })
     .expect("platform");
-    let known = list(1, &[]);
+    let known = list(1, &[("a", "127.0.0.1:1".parse().expect("an address"), 7, "station")]);
     let mut first = spawn(folder, &known, &platform);
     let names = "c=episode-notice,d=700,k=5c0f,dest=7";
     assert_eq!(Client::new(first.clients).put("m1", names, b"x"), "+OK");
@@ -276,3 +276,27 @@
     assert_eq!(client.line(), "Retry-After: 5");
     assert!(process.child.wait().expect("it ends").success());
 }
+
+#[test]
+fn a_sighup_does_not_end_the_process_whatever_the_file_says() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let folder = folder.path();
+    let (partner, open) = partner();
+    open.store(true, Ordering::Relaxed);
+    let platform = platform();
+    let known = list(1, &[("a", partner.address, 7, "station")]);
+    let mut first = spawn(folder, &known, &platform);
+    let other = self::platform();
+    let config = folder.join("config.json");
+    std::fs::write(&config, "{").expect("written");
+    first.signal("-HUP");
+    assert_eq!(Client::new(first.clients).put("m1", NAMES, b"one"), "+OK");
+    let text = config_text(&known).replacen('{', &format!(r#"{{"discovery":"{}","#, other.address), 1);
+    std::fs::write(&config, text).expect("written");
+    first.signal("-HUP");
+    assert!(other.wait_for(1, SOON), "the file goes before the variable that was told at start");
+    assert_eq!(Client::new(first.clients).put("m2", NAMES, b"two"), "+OK");
+    assert!(partner.wait_for(2, SOON));
+    first.signal("-TERM");
+    assert!(first.child.wait().expect("it ends").success());
+}
--- a/crates/cranehill/tests/told_wait.rs
+++ b/crates/cranehill/tests/told_wait.rs
@@ -39,7 +39,12 @@
     let (second, fill) = full_listener();
     let address = second.local_addr().expect("an address");
     let platform = platform();
-    let endpoints = [("a", first.address, 7, "station"), ("b", address, 7, "station")];
+    let third = StandIn::new(|_, _| Reply::status(200)).expect("partner");
+    let endpoints = [
+        ("a", first.address, 7, "station"),
+        ("b", address, 7, "station"),
+        ("c", third.address, 99, "station"),
+    ];
     let sender = start(&list(1, &endpoints), &platform);
     let mut client = Client::new(sender.clients);
     let names = "c=episode-notice,d=20000,k=aa,dest=7";
--- a/crates/cranehill/tests/webpush.rs
+++ b/crates/cranehill/tests/webpush.rs
@@ -32,7 +32,7 @@
     let mut reactor = Reactor::new(push_setup(service, vapid)).expect("the sender starts");
     let address = reactor.addresses().1.expect("it listens");
     let halter = reactor.halter().expect("halter");
-    thread::spawn(move || reactor.run(|| false));
+    thread::spawn(move || reactor.run(Vec::new));
     Front { address, halter }
 }
 
@@ -311,7 +311,7 @@
     .expect("the sender starts");
     let (clients, pushes) = reactor.addresses();
     let halter = reactor.halter().expect("halter");
-    thread::spawn(move || reactor.run(|| false));
+    thread::spawn(move || reactor.run(Vec::new));
     let front = Front { address: pushes.expect("it listens"), halter };
     // The second watch shows that the new list has been taken.
     assert!(platform.wait_for(2, SOON));
