End spoilt answers at once as may-have-run, and forget endpoints and ids that have gone

Checked: http.rs response() called itself for each 1xx, so a run of them is a stack overflow (the new parser test aborts on the old code); a head without an end, or a body shorter than stated, held its slot to the call's time-out; an unreadable X-Pressure spoilt the whole head; an unreadable answer to several notices counted as the partner's errors.

Changed: an answer that stalls 400 ms, does not end or can't be read is Status::Spoilt: may have run, an answer for the window, no sign of health; 1xx runs are a bounded loop; an unreadable report is dropped alone; reports out of range are dropped. Endpoints and routes that have gone leave core and decisions (places are used again), their idle connections close, a new endpoint of a destination that is out is tried at once, an endpoint's failures age, and recovered notices count over the time in which they came. An id that has ended is not taken on again while it could still be known: under another destination it would have gone where it must not.

--- a/crates/cranehill/src/core.rs
+++ b/crates/cranehill/src/core.rs
@@ -5,7 +5,7 @@
 //! two steps: [`Input::TurnOver`] asks for the turn's records to be kept, and only [`Input::Kept`] lets out
 //! what depends on them: answers, calls and reports. So nothing is promised or sent that the ledger lacks.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,6 +21,8 @@
 const ITEM: usize = 128;
 /// A partner that is no longer listed is known for so long.
 const FORGOTTEN: Duration = Duration::from_secs(600);
+/// Notices that have ended and are remembered, at most.
+const ENDED_MOST: usize = 8192;
 
 /// What a front passes along with a notice and the core does not look into.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -243,6 +245,9 @@
     list: BTreeMap<EndpointId, Partner>,
     /// Partners listed now, or until lately, and when last.
     known: BTreeMap<u64, Time>,
+    /// Ids of notices taken on that have ended, in the order in which they are forgotten.
+    ended: BTreeSet<String>,
+    ended_order: VecDeque<(Time, String)>,
     events: Vec<Event>,
     records: Vec<Record>,
     deferred: Vec<Effect>,
@@ -272,6 +277,8 @@
             closing: BTreeMap::new(),
             list: BTreeMap::new(),
             known: BTreeMap::new(),
+            ended: BTreeSet::new(),
+            ended_order: VecDeque::new(),
             events: Vec::new(),
             records: Vec::new(),
             deferred: Vec::new(),
@@ -327,6 +334,11 @@
         self.known.contains_key(&partner)
     }
 
+    /// Endpoints that are kept, here and by the decisions.
+    pub fn endpoints(&self) -> usize {
+        self.list.len().max(self.sender.places())
+    }
+
     /// Calls out just now.
     pub fn attempts_out(&self) -> usize {
         self.held.values().filter(|h| h.out.is_some()).count()
@@ -374,6 +386,11 @@
             let refused = Answer::Refused { after: Some(Duration::from_millis(100)) };
             return vec![Effect::Answer { to: notice.from, id: notice.id, answer: refused }];
         }
+        // So is one that has ended, for as long as a notice lasts: nothing goes out twice under one id, nor to
+        // where somebody else under that id would have it go.
+        if self.ended.contains(&notice.id) && matches!(notice.from, Origin::Client(_)) {
+            return vec![Effect::Answer { to: notice.from, id: notice.id, answer: Answer::TakenOn }];
+        }
         self.fresh.insert(notice.id.clone());
         let deadline = self.now + notice.left;
         self.hold(notice, deadline, None);
@@ -383,6 +400,7 @@
     fn hold(&mut self, notice: Notice, deadline: Time, maybe_ran: Option<FirstRun>) {
         let past = Past {
             attempts: notice.spent,
+            earlier_life: notice.from == Origin::Ledger,
             maybe_ran: maybe_ran.as_ref().map(|(at, endpoint, _)| (self.now - *at, endpoint.clone())),
         };
         self.events.push(Event::Accept(Taken {
@@ -425,7 +443,10 @@
         let now = self.now;
         self.known.retain(|_, listed| now - *listed < FORGOTTEN);
         self.events.push(Event::List { whole, entries });
-        vec![Effect::HoldBack { endpoints: hold_back }]
+        // Idle connections there would only hold descriptors, and must not serve who comes to that address next.
+        let mut effects: Vec<Effect> = hold_back.iter().cloned().map(Effect::CloseIdle).collect();
+        effects.push(Effect::HoldBack { endpoints: hold_back });
+        effects
     }
 
     fn on_ended(&mut self, ends: Vec<AttemptEnd>) -> Vec<Effect> {
@@ -455,6 +476,7 @@
                         if end.status == Status::Served { Answer::Delivered } else { Answer::Failed };
                     self.deferred.push(Effect::Answer { to: held.notice.from, id, answer });
                 } else {
+                    self.note_ended(&id);
                     self.records.push(Record::Over { id });
                 }
             } else if held.taken_on {
@@ -471,6 +493,19 @@
         effects
     }
 
+    fn note_ended(&mut self, id: &str) {
+        let longest = self.set.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+        if self.ended.insert(id.to_owned()) {
+            self.ended_order.push_back((self.now + longest, id.to_owned()));
+        }
+        while self.ended_order.len() > ENDED_MOST
+            || self.ended_order.front().is_some_and(|(until, _)| *until <= self.now)
+        {
+            let Some((_, id)) = self.ended_order.pop_front() else { return };
+            self.ended.remove(&id);
+        }
+    }
+
     /// Lets the module decide on all that came in this turn.
     fn on_turn_over(&mut self) -> Vec<Effect> {
         let events = std::mem::take(&mut self.events);
@@ -577,6 +612,7 @@
             let after_ms = after.map_or(0, |a| a.as_millis() as u64);
             let closing = if harmless { Closing::Returned { after_ms } } else { Closing::Failed };
             self.closing.insert(id.clone(), closing);
+            self.note_ended(&id);
             self.records.push(Record::Closing { id: id.clone(), closing });
             self.deferred.push(Effect::Report { id, closing });
             return;
--- a/crates/cranehill/src/http.rs
+++ b/crates/cranehill/src/http.rs
@@ -6,6 +6,10 @@
 pub const BODY_MOST: usize = 64 * 1024;
 const HEAD_MOST: usize = 16 * 1024;
 const HEADERS_MOST: usize = 64;
+/// Interim answers before the real one.
+const INTERIM_MOST: usize = 16;
+/// A header that only informs: where its value can't be read, it alone is dropped.
+pub const INFORMS: &str = "x-pressure";
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Malformed(pub &'static str);
@@ -139,9 +143,30 @@
 
 /// The first whole response, as [`request`]; `ended` says that the peer has closed.
 pub fn response(bytes: &[u8], ended: bool) -> Result<Option<(Response, usize)>, Malformed> {
+    let mut at = 0;
+    // A loop with an end: a run of interim answers must use up neither the stack nor our time.
+    for _ in 0..=INTERIM_MOST {
+        match one_response(&bytes[at..], ended)? {
+            Some((response, used)) if (100..200).contains(&response.status) => at += used,
+            found => return Ok(found.map(|(r, used)| (r, at + used))),
+        }
+    }
+    Err(Malformed("too many interim answers"))
+}
+
+fn one_response(bytes: &[u8], ended: bool) -> Result<Option<(Response, usize)>, Malformed> {
     let mut slots = [httparse::EMPTY_HEADER; HEADERS_MOST];
     let mut parsed = httparse::Response::new(&mut slots);
-    let head = match parsed.parse(bytes).map_err(|_| Malformed("response head"))? {
+    let readable: Vec<u8>;
+    let mut found = parsed.parse(bytes);
+    if found.is_err()
+        && let Some(blanked) = without_informing(bytes)
+    {
+        readable = blanked;
+        parsed = httparse::Response::new(&mut slots);
+        found = parsed.parse(&readable);
+    }
+    let head = match found.map_err(|_| Malformed("response head"))? {
         httparse::Status::Complete(head) => head,
         httparse::Status::Partial if bytes.len() > HEAD_MOST => return Err(Malformed("head too large")),
         httparse::Status::Partial => return Ok(None),
@@ -150,8 +175,7 @@
     let headers = own(parsed.headers);
     let old = parsed.version == Some(0);
     if (100..200).contains(&status) {
-        // An interim answer: the real one follows.
-        return Ok(response(&bytes[head..], ended)?.map(|(r, used)| (r, head + used)));
+        return Ok(Some((Response { status, headers, body: Vec::new(), close: false }, head)));
     }
     let mut close = has_token(&headers, "connection", "close") || old;
     let none = status == 204 || status == 304;
@@ -169,13 +193,42 @@
     Ok(whole.map(|(body, len)| (Response { status, headers, body, close }, head + len)))
 }
 
-/// The status of a response whose first line has come whole, whatever follows.
-pub fn first_line(bytes: &[u8]) -> Option<u16> {
-    let end = bytes.windows(2).position(|w| w == b"\r\n")?;
-    let line = std::str::from_utf8(&bytes[..end]).ok()?;
-    let mut words = line.split(' ');
-    words.next().filter(|w| w.starts_with("HTTP/1."))?;
-    words.next()?.parse().ok()
+/// The same bytes with the values of [`INFORMS`] made readable, which means nothing to who reads them.
+fn without_informing(bytes: &[u8]) -> Option<Vec<u8>> {
+    let mut blanked = bytes.to_vec();
+    let (mut at, mut found) = (0, false);
+    while let Some(end) = bytes[at..].windows(2).position(|w| w == b"\r\n") {
+        let line = &bytes[at..at + end];
+        if line.is_empty() {
+            break;
+        }
+        let name = line.split(|&b| b == b':').next().unwrap_or_default();
+        if name.eq_ignore_ascii_case(INFORMS.as_bytes()) && name.len() < line.len() {
+            blanked[at + name.len() + 1..at + end].fill(b'?');
+            found = true;
+        }
+        at += end + 2;
+    }
+    found.then_some(blanked)
+}
+
+/// The status of a response whose first line has come whole, whatever follows. Interim answers are read over.
+pub fn first_line(mut bytes: &[u8]) -> Option<u16> {
+    for _ in 0..=INTERIM_MOST {
+        let line = &bytes[..bytes.iter().position(|&b| b == b'\n')?];
+        let rest = line.strip_prefix(b"HTTP/1.")?;
+        let [b'0' | b'1', b' ', code @ ..] = rest else { return None };
+        let (code, after) = code.split_at_checked(3)?;
+        let status: u16 = std::str::from_utf8(code).ok()?.parse().ok()?;
+        if !matches!(after.first(), None | Some(b' ' | b'\r')) {
+            return None;
+        }
+        if !(100..200).contains(&status) {
+            return Some(status);
+        }
+        bytes = &bytes[bytes.windows(4).position(|w| w == b"\r\n\r\n")? + 4..];
+    }
+    None
 }
 
 /// A request's bytes. `Content-Length` is added.
--- a/crates/cranehill/src/partners.rs
+++ b/crates/cranehill/src/partners.rs
@@ -66,7 +66,7 @@
 }
 
 fn report(response: &Response) -> Option<Report> {
-    let text = header(&response.headers, "x-pressure")?;
+    let text = header(&response.headers, http::INFORMS)?;
     let (mut left, mut limit) = (None, None);
     for (name, value) in text.split(',').filter_map(|p| p.split_once('=')) {
         let value: Option<f64> = value.trim().parse().ok().filter(|v: &f64| v.is_finite());
@@ -76,7 +76,9 @@
             _ => {}
         }
     }
-    Some(Report { left: left?, limit: limit? })
+    // A share and a rate: what can be neither was spoilt on the way.
+    let (left, limit) = (left?, limit?);
+    ((0.0..=10.0).contains(&left) && (0.0..=1e6).contains(&limit)).then_some(Report { left, limit })
 }
 
 /// Reads the answer to a call with these notices.
@@ -100,10 +102,13 @@
 }
 
 fn states(response: &Response, ids: &[&str], wait: Option<Duration>) -> Told {
-    let states: Vec<State> = serde_json::from_slice(&response.body).unwrap_or_else(|e| {
-        log::error!("partners: the answer to a call of {} is not readable: {e}", ids.len());
-        Vec::new()
-    });
+    let states: Vec<State> = match serde_json::from_slice(&response.body) {
+        Ok(states) => states,
+        Err(e) => {
+            log::info!("partners: the answer to a call of {} is not readable: {e}", ids.len());
+            return Told { verdicts: vec![Verdict::of(Status::Spoilt); ids.len()], wait, report: None };
+        }
+    };
     let verdict = |id: &&str| match states.iter().find(|s| s.id == **id).map(|s| s.state.as_str()) {
         Some("done") => Verdict { status: Status::Served, over: true },
         Some("busy") => Verdict::of(Status::Refused),
--- a/crates/cranehill/src/reactor.rs
+++ b/crates/cranehill/src/reactor.rs
@@ -349,7 +349,7 @@
             Role::Partner { call: Some(call), .. } => {
                 let first = call.attempts.iter().map(|a| a.until).min();
                 let connect = (!link.up).then(|| call.started + set.connect_timeout);
-                first.into_iter().chain(connect).min()
+                first.into_iter().chain(connect).chain(calls::stall(link)).min()
             }
             Role::Partner { check: Some(at), .. } => Some(*at + set.connect_timeout),
             Role::Partner { .. } => Some(link.used + self.idle_limit()),
--- a/crates/cranehill/src/reactor/calls.rs
+++ b/crates/cranehill/src/reactor/calls.rs
@@ -2,6 +2,15 @@
 
 use super::*;
 
+/// An answer that has begun goes on within this.
+const STALL: Duration = Duration::from_millis(400);
+
+/// When an answer that has begun is held for one that does not end. Guards slots against heads without an end
+/// and lengths that don't fit, which would keep them until the call's time-out.
+pub(super) fn stall(link: &Link) -> Option<Time> {
+    (!link.input.is_empty()).then(|| link.used + STALL)
+}
+
 impl Reactor {
     /// Ends calls of which nothing has been written yet: they would arrive inside a told wait, or at an
     /// endpoint that drains or is gone.
@@ -150,13 +159,14 @@
         let Some(link) = self.links.get_mut(&id) else { return };
         let ended = link.ended || write_broke;
         let written = link.written_out();
+        let stalled = stall(link).is_some_and(|t| t <= self.clock.now());
         let Role::Partner { endpoint, call, check, .. } = &mut link.role else { return };
         let Some(out) = call else {
             if check.is_some() {
                 let status = match http::response(&link.input, ended) {
                     Ok(Some((r, _))) if r.status == 200 => Status::Served,
                     Ok(Some(_)) => Status::Refused,
-                    Ok(None) if !ended => return,
+                    Ok(None) if !ended && link.input.len() < ANSWER_MOST => return,
                     _ => Status::Reset,
                 };
                 let endpoint = endpoint.clone();
@@ -194,16 +204,24 @@
                 }
                 self.end_call(out, &told);
             }
-            Ok(None) if !ended => {}
+            Ok(None) if !ended && !stalled && link.input.len() < ANSWER_MOST => {}
             result => {
+                // An answer that can't be read, or does not end: it ran. The connection is of no further use.
+                let spoilt = result.is_err() || stalled || !ended;
                 // The first line says it all for one notice; for several, the whole answer would.
                 let told = match http::first_line(&link.input) {
+                    Some(200..300) if push => Told {
+                        verdicts: vec![Verdict { status: Status::Served, over: true }],
+                        wait: None,
+                        report: None,
+                    },
                     Some(200) if out.ids.len() == 1 => Told {
                         verdicts: vec![Verdict { status: Status::Served, over: true }],
                         wait: None,
                         report: None,
                     },
-                    _ if !written => Told::all(Status::NoConnection),
+                    _ if !written && link.input.is_empty() => Told::all(Status::NoConnection),
+                    _ if spoilt => Told::all(Status::Spoilt),
                     _ => Told::all(Status::Reset),
                 };
                 log::debug!("partner {endpoint}: call broken off, {result:?}");
--- a/crates/cranehill/tests/core.rs
+++ b/crates/cranehill/tests/core.rs
@@ -216,10 +216,12 @@
     let mut b = Bench::new(1);
     let list = vec![listing("a", Condition::Draining, 1)];
     let effects = b.step(Input::Listed { whole: false, list });
-    assert!(matches!(&effects[..], [Effect::HoldBack { endpoints }] if endpoints.len() == 1));
+    assert!(
+        matches!(&effects[..], [Effect::CloseIdle(_), Effect::HoldBack { endpoints }] if endpoints.len() == 1)
+    );
     let effects = b.step(Input::Listed { whole: true, list: vec![listing("b", Condition::Ready, 1)] });
     assert!(
-        matches!(&effects[..], [Effect::HoldBack { endpoints }] if endpoints == &[EndpointId("a".into())])
+        matches!(&effects[..], [Effect::CloseIdle(_), Effect::HoldBack { endpoints }] if endpoints == &[EndpointId("a".into())])
     );
 }
 
@@ -342,3 +344,49 @@
     let (records, effects) = b.turn(60);
     assert!(records.is_empty() && calls(&effects).is_empty() && answers(&effects).is_empty());
 }
+
+#[test]
+fn an_id_that_has_ended_is_not_taken_on_again_and_is_forgotten_in_time() {
+    let mut b = Bench::new(1);
+    b.step(Input::Handed(notice("m", 8000)));
+    b.turn(5);
+    b.step(Input::Ended(vec![end("m", 0, Status::Served)]));
+    b.turn(10);
+    // Another client's, under the same id and for elsewhere.
+    let other = Notice { partner: 8, from: Origin::Client(2), ..notice("m", 8000) };
+    let effects = b.step(Input::Handed(other));
+    assert_eq!(answers(&effects), [("m".to_owned(), Answer::TakenOn)]);
+    assert!(calls(&b.turn(15).1).is_empty());
+    assert_eq!(b.core.owed(), (0, 0));
+    b.ms = 40_000;
+    b.step(Input::Handed(notice("n", 8000)));
+    b.turn(40_005);
+    b.step(Input::Ended(vec![end("n", 0, Status::Served)]));
+    b.turn(40_010);
+    b.step(Input::Handed(notice("m", 8000)));
+    assert_eq!(calls(&b.turn(40_015).1), [["m"]]);
+}
+
+#[test]
+fn a_partner_is_known_while_its_endpoints_are_replaced_and_their_idle_connections_end() {
+    let mut b = Bench::new(1);
+    assert!(b.core.knows(7) && !b.core.knows(8));
+    let effects = b.step(Input::Listed { whole: false, list: vec![listing("a", Condition::Gone, 1)] });
+    let closed = |e: &Effect| matches!(e, Effect::CloseIdle(e) if e.0 == "a");
+    assert!(effects.iter().any(closed), "{effects:?}");
+    b.turn(5);
+    assert!(b.core.knows(7));
+    b.step(Input::Handed(notice("m", 8000)));
+    assert!(calls(&b.turn(10).1).is_empty());
+    b.step(Input::Listed { whole: false, list: vec![listing("b", Condition::Ready, 1)] });
+    assert_eq!(calls(&b.turn(15).1), [["m"]]);
+    // Names that came and went leave nothing behind.
+    for n in 0..1000 {
+        let name = format!("e{n}");
+        b.step(Input::Listed { whole: false, list: vec![listing(&name, Condition::Ready, 1)] });
+        b.turn(20 + 2 * n);
+        b.step(Input::Listed { whole: false, list: vec![listing(&name, Condition::Gone, 1)] });
+        b.turn(21 + 2 * n);
+    }
+    assert!(b.core.endpoints() < 10, "{}", b.core.endpoints());
+}
--- a/crates/cranehill/tests/parsers.rs
+++ b/crates/cranehill/tests/parsers.rs
@@ -97,6 +97,44 @@
     assert!(http::response(&vec![b'a'; 20_000], false).is_err());
 }
 
+#[test]
+fn a_run_of_interim_answers_has_an_end_and_uses_no_stack() {
+    let run = "HTTP/1.1 100 C\r\n\r\n".repeat(200_000);
+    assert!(http::response(run.as_bytes(), false).is_err());
+    assert_eq!(http::first_line(run.as_bytes()), None);
+    let some =
+        format!("{}HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 103 E\r\nA: b\r\n\r\n".repeat(3));
+    assert_eq!((response(&some).status, http::first_line(some.as_bytes())), (200, Some(200)));
+    for (line, status) in [
+        ("HTTP/1.1 200 O\u{1}\r\n\u{2}", Some(200)),
+        ("HTTP/1.1 2000 OK\r\n", None),
+        ("HTTP/1.1 20", None),
+        ("noise HTTP/1.1 200 OK\r\n", None),
+    ] {
+        assert_eq!(http::first_line(line.as_bytes()), status, "{line:?}");
+    }
+}
+
+#[test]
+fn a_load_report_that_can_not_be_read_is_dropped_alone() {
+    let text = |report: &str| {
+        format!("HTTP/1.1 429 F\r\nx-pressure:{report}\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n")
+    };
+    for bad in ["", " \u{0}\u{7}", " x0=,x1=", " x0=nan,x1=5", " x0=0.5", " x0=-3,x1=5", " x0=0.5,x1=1e300"] {
+        let told = partners::read(&response(&text(bad)), &["a"], Duration::ZERO);
+        assert_eq!(
+            (told.verdicts[0].status, told.wait),
+            (Status::Refused, Some(Duration::from_secs(2))),
+            "{bad:?}"
+        );
+        assert!(told.report.is_none(), "{bad:?}");
+    }
+    assert!(partners::read(&response(&text(" x0=0.5,x1=5")), &["a"], Duration::ZERO).report.is_some());
+    let batch = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[{";
+    let told = partners::read(&response(batch), &["a", "b"], Duration::ZERO);
+    assert_eq!(told.verdicts, [Verdict::of(Status::Spoilt); 2], "a spoilt answer of several may have run");
+}
+
 #[test]
 fn a_partners_answer_tells_of_each_notice_of_the_wait_and_of_the_limit() {
     let told = |text: &str, ids: &[&str]| partners::read(&response(text), ids, Duration::ZERO);
--- /dev/null
+++ b/crates/cranehill/tests/spoilt.rs
@@ -0,0 +1,67 @@
+//! Answers that come spoilt: the attempt failed and may have run, and its connection is not used again.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use common::*;
+use cranehill::rehearsal::{Reply, StandIn};
+
+const NAMES: &str = "c=episode-notice,d=20000,k=aa,dest=7";
+
+/// What the partner was sent when it answers the first requests so, and 200 from then on: for each request
+/// its connection and how long after the first it came.
+fn play(answers: &'static [&'static str], notices: usize, requests: usize) -> Vec<(usize, Duration)> {
+    let partner = StandIn::new(|_, number| match answers.get(number) {
+        Some(text) => Reply::Bytes(text.as_bytes().to_vec()),
+        None => Reply::status(200),
+    })
+    .expect("partner");
+    let platform = platform();
+    let sender = start(&list(1, &[("a", partner.address, 7, "station")]), &platform);
+    let mut client = Client::new(sender.clients);
+    for n in 0..notices {
+        assert_eq!(client.put(&format!("m{n}"), NAMES, b"x"), "+OK");
+        assert!(partner.wait_for((n + 1).min(requests), SOON));
+    }
+    assert!(partner.wait_for(requests, SOON), "{} of {requests} requests", partner.seen().len());
+    // Nothing more comes, unless something is wrong.
+    std::thread::sleep(Duration::from_millis(700));
+    let seen = partner.seen();
+    let first: Instant = seen[0].at;
+    seen.iter().map(|s| (s.connection, s.at - first)).collect()
+}
+
+#[test]
+fn a_spoilt_answer_is_tried_again_soon_and_elsewhere() {
+    let seen = play(
+        &[
+            "\u{1}\u{2}noise\r\n\r\n",
+            "HTTP/1.1 500 Oops\r\nContent-Length: 3000000000\r\n\r\nxxxx",
+            "HTTP/1.1 500 Oops\r\nX-A: a head without an end",
+            "HTTP/1.1 500 Oops\r\nContent-Length: 50\r\n\r\nshort",
+        ],
+        1,
+        5,
+    );
+    let connections: Vec<usize> = seen.iter().map(|s| s.0).collect();
+    assert_eq!(connections, [0, 1, 2, 3, 4], "no connection is used after a spoilt answer");
+    assert!(seen[4].1 < Duration::from_secs(4), "not at a call's time-out: {seen:?}");
+}
+
+#[test]
+fn a_first_line_of_200_says_it_all_and_what_follows_costs_the_connection_only() {
+    let seen = play(
+        &[
+            "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxxx",
+            "HTTP/1.1 200 OK\r\n\u{1}: \r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+            "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nX-Pressure: \u{1}x0=\u{0},,=\r\nContent-Length: 0\r\n\r\n",
+        ],
+        6,
+        6,
+    );
+    let connections: Vec<usize> = seen.iter().map(|s| s.0).collect();
+    assert_eq!(connections, [0, 1, 2, 3, 3, 3], "one request a notice; whole answers keep the connection");
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -229,6 +229,9 @@
     Served,
     /// The destination answered with an error; it may have taken effect.
     Error,
+    /// The destination answered, and nothing can be read from it; it may have taken effect. It says nothing of
+    /// the destination's health: the answer was spoilt on its way.
+    Spoilt,
     /// Turned away unseen.
     Refused,
     /// No answer in time; it may have taken effect.
@@ -281,6 +284,8 @@
 pub struct Past {
     /// Attempts used.
     pub attempts: u32,
+    /// An earlier life of this sender took it in.
+    pub earlier_life: bool,
     /// How long ago, and where, the first attempt went that may have taken effect.
     pub maybe_ran: Option<(Duration, EndpointId)>,
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -259,6 +259,20 @@
     }
 }
 
+/// Puts a record into a spare place, or a new one, and tells which.
+fn place<T>(all: &mut Vec<T>, spare: &mut Vec<usize>, fresh: T) -> usize {
+    match spare.pop() {
+        Some(at) => {
+            all[at] = fresh;
+            at
+        }
+        None => {
+            all.push(fresh);
+            all.len() - 1
+        }
+    }
+}
+
 /// The longest span of a limit: refusals and told waits beyond it mean an outage.
 fn span(rules: &Rules) -> Duration {
     rules.fall.max(Duration::from_secs(2))
@@ -272,6 +286,9 @@
     now: Time,
     acts: Vec<Action>,
     endpoints: Vec<Endpoint>,
+    /// Places of endpoints, and of routes, that have gone: taken by new ones.
+    spare: Vec<usize>,
+    spare_lanes: Vec<usize>,
     by_id: BTreeMap<EndpointId, usize>,
     lanes: Vec<Lane>,
     dests: BTreeMap<DestId, Vec<usize>>,
@@ -308,6 +325,8 @@
             now,
             acts: Vec::new(),
             endpoints: Vec::new(),
+            spare: Vec::new(),
+            spare_lanes: Vec::new(),
             by_id: BTreeMap::new(),
             lanes: Vec::new(),
             dests: BTreeMap::new(),
@@ -389,26 +408,53 @@
                 self.endpoints[e].zone = entry.zone;
                 continue;
             }
+            if entry.condition == Condition::Gone {
+                continue;
+            }
             let kind = self.set.kinds.get(entry.kind).copied().unwrap_or(Kind { per_call: 1, apart: false });
             let lanes = self.dests.entry(entry.dest).or_default();
             let lane = match lanes.first() {
                 Some(&lane) if !kind.apart => lane,
                 sibling => {
                     let demand = sibling.map_or(Demand::new(self.now), |&l| self.lanes[l].demand.clone());
-                    lanes.push(self.lanes.len());
                     let window = Window::new(self.set.slots);
-                    self.lanes.push(Lane::new(kind, window, demand, self.now, self.set.classes.len()));
-                    self.lanes.len() - 1
+                    let fresh = Lane::new(kind, window, demand, self.now, self.set.classes.len());
+                    let lane = place(&mut self.lanes, &mut self.spare_lanes, fresh);
+                    lanes.push(lane);
+                    lane
                 }
             };
-            let index = self.endpoints.len();
+            // What failed was another: a new endpoint need not wait for the next trial.
+            if let Mode::Down { next, .. } = &mut self.lanes[lane].health.mode {
+                *next = self.now;
+            }
             if self.set.rates_listed && entry.rate > 0.0 {
                 let fair = entry.rate / f64::from(self.set.instances.max(1));
                 self.lanes[lane].demand.fair = Some(fair);
             }
+            let id = entry.endpoint.clone();
+            let fresh = Endpoint::new(entry, lane, self.now);
+            let index = place(&mut self.endpoints, &mut self.spare, fresh);
             self.lanes[lane].endpoints.push(index);
-            self.by_id.insert(entry.endpoint.clone(), index);
-            self.endpoints.push(Endpoint::new(entry, lane, self.now));
+            self.by_id.insert(id, index);
+        }
+        self.forget_gone();
+    }
+
+    /// Guards memory on a long day: new endpoints under new ids replace the old ones without end.
+    fn forget_gone(&mut self) {
+        let first_ran: Vec<usize> = self.messages.values().filter_map(|m| m.maybe_ran?.1).collect();
+        let gone = |e: &Endpoint| e.condition == Condition::Gone && e.out == 0;
+        let known: Vec<usize> = self.by_id.values().copied().collect();
+        for e in known.into_iter().filter(|e| gone(&self.endpoints[*e]) && !first_ran.contains(e)) {
+            let lane = self.endpoints[e].lane;
+            self.by_id.remove(&self.endpoints[e].id);
+            self.spare.push(e);
+            self.lanes[lane].endpoints.retain(|&i| i != e);
+            if self.lanes[lane].endpoints.is_empty() && self.lanes[lane].kind.apart {
+                self.dests.values_mut().for_each(|lanes| lanes.retain(|&l| l != lane));
+                self.spare_lanes.push(lane);
+            }
         }
     }
 
@@ -436,6 +482,12 @@
             let lane = &mut self.lanes[lane];
             lane.toss_at = self.now;
             lane.demand.add(self.now, part);
+            // What a restart found came over the time that has passed since; as new demand it would be a burst
+            // that never was.
+            if past.earlier_life {
+                lane.demand.since =
+                    lane.demand.since.min(Time(self.now.0.saturating_sub(passed.as_nanos() as u64)));
+            }
             // As the paper under a window of one: where a sender seldom calls, half of its messages are tried
             // as they come, out or not. All senders together then push less than their fresh traffic.
             let rate = lane.demand.rate(self.now);
@@ -499,7 +551,7 @@
         let cut_short = status == Status::TimedOut && took.as_secs_f64() < overdue;
         if first && !cut_short {
             match status {
-                Status::Served | Status::Error | Status::Gone | Status::Rejected => {
+                Status::Served | Status::Error | Status::Spoilt | Status::Gone | Status::Rejected => {
                     self.lanes[lane].rtt[class].sample(took.as_secs_f64());
                     self.endpoints[out.endpoint].last_answer = now;
                 }
@@ -539,6 +591,7 @@
         let Some(message) = self.messages.get_mut(&number) else { return };
         let may_have_run = match status {
             Status::Served | Status::Error | Status::TimedOut | Status::Reset | Status::Cancelled => true,
+            Status::Spoilt => true,
             Status::Refused | Status::NoConnection | Status::NotSent => false,
             Status::Gone | Status::Rejected => false,
         };
@@ -557,7 +610,7 @@
             message.verdict = Some(status);
         }
         let pause = match status {
-            Status::Error | Status::Reset | Status::NotSent => {
+            Status::Error | Status::Spoilt | Status::Reset | Status::NotSent => {
                 0.05 * f64::from(1u32 << message.attempts.min(5))
             }
             _ => 0.0,
@@ -573,7 +626,7 @@
         let idled = endpoint.gap > IDLE_LEAST && endpoint.streak == 0;
         let lost = match status {
             Status::TimedOut | Status::Reset => true,
-            Status::Served | Status::Error | Status::Gone | Status::Rejected => false,
+            Status::Served | Status::Error | Status::Spoilt | Status::Gone | Status::Rejected => false,
             Status::Refused | Status::NoConnection | Status::Cancelled | Status::NotSent => return,
         };
         if !idled {
@@ -622,8 +675,8 @@
             Status::Served => Sign::Good,
             Status::Refused => Sign::Refused,
             Status::Error | Status::TimedOut | Status::NoConnection | Status::Reset => Sign::Bad,
-            // An answer about one message only: the service is neither better nor worse for it.
-            Status::Gone | Status::Rejected => return lane.window.answered(),
+            // An answer about one message only, or spoilt on its way: the service is neither better nor worse.
+            Status::Gone | Status::Rejected | Status::Spoilt => return lane.window.answered(),
             Status::Cancelled | Status::NotSent => return,
         };
         match status {
@@ -884,10 +937,17 @@
             .min_by_key(|&e| {
                 let endpoint = &self.endpoints[e];
                 let foreign = endpoint.zone != self.set.zone;
-                (!self.joins(e, open), endpoint.streak > 0, foreign, endpoint.out, e)
+                (!self.joins(e, open), self.shunned(endpoint), foreign, endpoint.out, e)
             })
     }
 
+    /// Whether an endpoint's failures still speak against it. They age: one that failed is tried again now and
+    /// then though others would do, or it would be left out for good.
+    fn shunned(&self, endpoint: &Endpoint) -> bool {
+        let pause = TRIAL_FIRST * (1 << endpoint.streak.min(4));
+        endpoint.streak > 0 && endpoint.last_used.is_none_or(|t| self.now - t < pause)
+    }
+
     /// A destination's lanes that still have an endpoint in the list.
     fn listed(&self, dest: DestId) -> Vec<usize> {
         let there = |&e: &usize| self.endpoints[e].condition != Condition::Gone;
@@ -966,6 +1026,11 @@
         }
     }
 
+    /// Endpoints and routes that there is room for: what a long day must not let grow.
+    pub fn places(&self) -> usize {
+        self.endpoints.len().max(self.lanes.len())
+    }
+
     fn number(&mut self) -> u64 {
         self.next_number += 1;
         self.next_number
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -3,6 +3,7 @@
 mod common;
 use common::*;
 use tansycroft::api::*;
+use tansycroft::{Sender, Time};
 
 /// i4a8067: one lost answer froze an endpoint until a whole deadline had passed.
 #[test]
@@ -101,3 +102,92 @@
         b.at(i * 100 + 50, vec![outcome(&id, 0, Status::TimedOut, 50)]);
     }
 }
+
+/// The reload day of 1 December: of two endpoints the one that had failed was left out until the day's end.
+#[test]
+fn an_endpoint_that_failed_is_tried_again_beside_one_that_works() {
+    let mut b =
+        Bench::new(settings(), vec![entry("a", 1, Condition::Ready, 0), entry("b", 1, Condition::Ready, 0)]);
+    let mut at_b = Vec::new();
+    for i in 0..40u64 {
+        let pair = [format!("m{i}"), format!("n{i}")];
+        let acts = b.at(i * 100, pair.iter().map(|id| accept(id, 0, None, 9000)).collect());
+        for (id, endpoint) in sends(&acts) {
+            let fails = endpoint == "b" && at_b.is_empty();
+            if endpoint == "b" {
+                at_b.push(i * 100);
+            }
+            let status = if fails { Status::Reset } else { Status::Served };
+            b.at(i * 100 + 20, vec![outcome(&id, 0, status, 20)]);
+        }
+    }
+    assert!(at_b.len() > 20, "b works and gets its part again: {at_b:?}");
+    assert!(at_b[1] - at_b[0] >= 400, "but not at once: {at_b:?}");
+}
+
+/// Endpoints that are replaced all day leave no records behind.
+#[test]
+fn endpoints_that_have_gone_are_forgotten() {
+    let mut b = Bench::new(settings(), vec![entry("e0", 1, Condition::Ready, 0)]);
+    for i in 1..500u64 {
+        let entries = vec![
+            entry(&format!("e{}", i - 1), 1, Condition::Gone, 0),
+            entry(&format!("e{i}"), 1, Condition::Ready, 0),
+            entry(&format!("r{}", i - 1), 2, Condition::Gone, 2),
+            entry(&format!("r{i}"), 2, Condition::Ready, 2),
+        ];
+        b.at(i * 100, vec![Event::List { whole: false, entries }]);
+        let acts = b.at(i * 100 + 5, vec![accept(&format!("m{i}"), 0, None, 9000)]);
+        assert_eq!(sends(&acts), [(format!("m{i}"), format!("e{i}"))]);
+        b.at(i * 100 + 20, vec![outcome(&format!("m{i}"), 0, Status::Served, 15)]);
+    }
+    assert!(b.sender.places() < 10, "{}", b.sender.places());
+}
+
+/// A destination that is out does not keep a new endpoint waiting for its next trial.
+#[test]
+fn a_new_endpoint_of_a_destination_that_is_out_is_tried_at_once() {
+    let mut b = Bench::new(settings(), vec![entry("a", 1, Condition::Ready, 0)]);
+    for i in 0..3u64 {
+        b.at(i * 1000, vec![accept(&format!("m{i}"), 2, None, 9000)]);
+        b.at(i * 1000 + 10, vec![outcome(&format!("m{i}"), 0, Status::Reset, 10)]);
+    }
+    assert!(sends(&b.at(2050, vec![accept("m", 0, None, 9000)])).is_empty(), "it is out");
+    let entries = vec![entry("a", 1, Condition::Gone, 0), entry("b", 1, Condition::Ready, 0)];
+    let acts = b.at(2100, vec![Event::List { whole: false, entries }]);
+    assert_eq!(sends(&acts), [("m".to_owned(), "b".to_owned())]);
+}
+
+/// What a restart finds again came over seconds, and is no burst of new demand.
+#[test]
+fn recovered_messages_count_over_the_time_in_which_they_came() {
+    let paced = |earlier_life: bool| {
+        let start = Time(20_000_000_000);
+        let mut sender = Sender::new(settings(), 1, start).expect("settings");
+        sender.handle(
+            start,
+            vec![Event::List { whole: true, entries: vec![entry("a", 1, Condition::Ready, 0)] }],
+        );
+        let mut b = Bench { sender, ms: 20_000 };
+        let old = (0..60).map(|i| match accept(&format!("m{i}"), 0, None, 4000) {
+            Event::Accept(t) => Event::Accept(Taken { past: Past { earlier_life, ..Past::default() }, ..t }),
+            other => other,
+        });
+        let mut out = sends(&b.at(20_010, old.collect()));
+        let (mut attempts, mut sent) = (std::collections::BTreeMap::new(), 0);
+        // An outage and its end: how fast calls go then is this sender's part of the traffic.
+        for ms in (20_020..23_500u64).step_by(10) {
+            let ends = std::mem::take(&mut out).into_iter().map(|(id, _)| {
+                let attempt = attempts.entry(id.clone()).or_insert(0);
+                *attempt += 1;
+                let status = if ms < 20_400 { Status::NoConnection } else { Status::Served };
+                outcome(&id, *attempt - 1, status, 10)
+            });
+            let ends: Vec<Event> = ends.chain([Event::Wake]).collect();
+            out = sends(&b.at(ms, ends));
+            sent += out.len();
+        }
+        sent
+    };
+    assert!(paced(true) < paced(false), "{} {}", paced(true), paced(false));
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -278,7 +278,7 @@
     match accept(id, class, None, 9000) {
         Event::Accept(t) => {
             let maybe_ran = ran_ms_ago.map(|ms| (Duration::from_millis(ms), EndpointId("a".into())));
-            Event::Accept(Taken { past: Past { attempts, maybe_ran }, ..t })
+            Event::Accept(Taken { past: Past { earlier_life: true, attempts, maybe_ran }, ..t })
         }
         other => other,
     }
