--- a/crates/cranehill/src/reactor/door.rs
+++ b/crates/cranehill/src/reactor/door.rs
@@ -15,6 +15,10 @@
 const IDLE_CLIENT: Duration = Duration::from_secs(4);
 /// Errors that one connection gets before it ends.
 const FAULTS_MOST: u32 = 16;
+/// So long after connecting, a caller's first request may still be on its way.
+const FRESH: Duration = Duration::from_millis(300);
+/// Connections looked at for one that may end.
+const CHOICES: usize = 4;
 /// A request that has not come whole is much from here on.
 const MUCH: usize = 8 * 1024;
 
@@ -34,6 +38,19 @@
     waits && link.written_out()
 }
 
+/// In which order connections without a request end where places run out: those that never asked, once they
+/// had time to; those that may end at any time by the platform's rules; fresh ones; and who asked lately.
+fn spared(link: &Link, now: Time) -> (u8, Time) {
+    let waited = now - link.since;
+    let class = match link.asked {
+        false if waited >= FRESH => 0,
+        true if waited >= SLOW_CLIENT => 1,
+        false => 2,
+        true => 3,
+    };
+    (class, link.since)
+}
+
 impl Reactor {
     pub(super) fn accept(&mut self, token: Token) {
         for _ in 0..ACCEPTS_A_TURN {
@@ -75,8 +92,6 @@
         if self.links.values().filter(from_clients).count() < self.clients_most {
             return true;
         }
-        let idlest = self.links.iter().filter(|(_, l)| free(l)).min_by_key(|(_, l)| (l.asked, l.since));
-        let found = idlest.map(|(&id, _)| id);
         self.turned_away += 1;
         let now = self.clock.now();
         // One line a second: a flood must not become a flood of lines.
@@ -85,7 +100,17 @@
             self.tell_away = now + Duration::from_secs(1);
             self.turned_away = 0;
         }
-        found.and_then(|id| self.drop_link(id)).is_some()
+        for _ in 0..CHOICES {
+            let idlest = self.links.iter().filter(|(_, l)| free(l)).min_by_key(|(_, l)| spared(l, now));
+            let Some((&id, _)) = idlest else { return false };
+            // A request that has come and was not read yet must not be lost with its connection.
+            self.pump(id);
+            if self.links.get(&id).is_none_or(free) {
+                self.drop_link(id);
+                return true;
+            }
+        }
+        false
     }
 
     /// A client has had its time. One that began a request is told why it ends.
@@ -285,7 +310,8 @@
                     self.step(Input::Handed(notice));
                 }
                 Err((status, why)) => {
-                    link.close_after |= *close;
+                    link.faults += 1;
+                    link.close_after |= *close || link.faults >= FAULTS_MOST;
                     self.say(id, &webpush::error(status, why));
                 }
             }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -937,7 +937,9 @@
             .min_by_key(|&e| {
                 let endpoint = &self.endpoints[e];
                 let foreign = endpoint.zone != self.set.zone;
-                (!self.joins(e, open), self.shunned(endpoint), foreign, endpoint.out, e)
+                // Of several that failed, the one that failed least: an outage need not be all of them's.
+                let failed = if self.shunned(endpoint) { endpoint.streak } else { 0 };
+                (!self.joins(e, open), failed, foreign, endpoint.out, e)
             })
     }
 
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -191,3 +191,21 @@
     };
     assert!(paced(true) < paced(false), "{} {}", paced(true), paced(false));
 }
+
+/// The reload day of 1 December: trials of a destination that is out went to the endpoint that had failed most.
+#[test]
+fn a_trial_goes_to_the_endpoint_that_failed_least() {
+    let entries = vec![entry("a", 1, Condition::Ready, 0), entry("b", 1, Condition::Ready, 0)];
+    let mut b = Bench::new(settings(), entries);
+    let mut went = Vec::new();
+    for i in 0..3u64 {
+        let id = format!("m{i}");
+        let acts = b.at(i * 100, vec![accept(&id, 2, None, 9000)]);
+        went.extend(sends(&acts).into_iter().map(|s| s.1));
+        b.at(i * 100 + 10, vec![outcome(&id, 0, Status::Reset, 10)]);
+    }
+    assert_eq!(went, ["a", "b", "a"]);
+    b.at(300, vec![accept("m", 0, None, 9000)]);
+    let trial = (305..2000).step_by(5).find_map(|ms| sends(&b.at(ms, vec![Event::Wake])).pop());
+    assert_eq!(trial, Some(("m".to_owned(), "b".to_owned())));
+}
