Tell dead kept connections from failing partners, and learn how long one may be kept

Cause: calls.rs ended every connection that broke under a call as Reset (or NoConnection), and brain.rs counts three in a row as an outage, two while cold, then holds the destination to a cold one's budget for 9 s. Ruled out: slots (2 to 8 of 24 used), the window (7 to 13), memory, CPU (0.1 of a core).

Changed: a kept connection that breaks with no byte of an answer is Dropped (or not sent, if the call was not written); an answer that has begun and breaks off is Spoilt. The idle time trusted is halved on such an end and lifted by 2 % on each call served near it.

--- a/crates/cranehill/src/link.rs
+++ b/crates/cranehill/src/link.rs
@@ -49,6 +49,9 @@
     pub ended: bool,
     /// When something last went over it.
     pub used: Time,
+    /// A partner's: calls answered on it, and how long it had been idle when the latest one went.
+    pub answered: u32,
+    pub gap: Duration,
     /// A client's: since when we wait for it.
     pub since: Time,
     /// A client's: it has sent a whole request.
--- a/crates/cranehill/src/reactor.rs
+++ b/crates/cranehill/src/reactor.rs
@@ -94,6 +94,8 @@
     next_link: usize,
     clients_most: usize,
     partners_most: usize,
+    /// A connection to a partner that was idle for longer is not written to.
+    trusted_idle: Duration,
     /// Bytes of requests that have not come whole, over all clients.
     unread_most: usize,
     /// Connections closed unserved since the log last told.
@@ -190,6 +192,7 @@
             next_link: FIRST_LINK,
             clients_most,
             partners_most,
+            trusted_idle: Duration::MAX,
             unread_most: setup.memory / 8,
             turned_away: 0,
             tell_away: now,
@@ -437,6 +440,8 @@
                 up,
                 ended: false,
                 used: now,
+                answered: 0,
+                gap: Duration::ZERO,
                 since: now,
                 asked: false,
                 faults: 0,
--- a/crates/cranehill/src/reactor/calls.rs
+++ b/crates/cranehill/src/reactor/calls.rs
@@ -5,6 +5,9 @@
 /// An answer that has begun goes on within this.
 const STALL: Duration = Duration::from_millis(400);
 
+/// However many kept connections turn out dead, one that was just used is used again.
+const TRUST_LEAST: Duration = Duration::from_millis(100);
+
 /// When an answer that has begun is held for one that does not end. Guards slots against heads without an end
 /// and lengths that don't fit, which would keep them until the call's time-out.
 pub(super) fn stall(link: &Link) -> Option<Time> {
@@ -42,7 +45,7 @@
 
     /// A connection to this endpoint that is free and can be trusted.
     pub(super) fn free_link(&mut self, endpoint: &EndpointId, address: &str) -> Option<usize> {
-        let (now, limit) = (self.clock.now(), self.idle_limit());
+        let (now, limit) = (self.clock.now(), self.idle_limit().min(self.trusted_idle));
         loop {
             let fits = |l: &Link| match &l.role {
                 Role::Partner { endpoint: e, address: a, call: None, check: None } => {
@@ -106,6 +109,7 @@
             }
             link.output = bytes;
             link.written = 0;
+            link.gap = now - link.used;
             link.used = now;
         }
         self.pump(id);
@@ -201,6 +205,11 @@
                     link.input.clear();
                     link.output.clear();
                     link.written = 0;
+                    link.answered += 1;
+                    let proven = link.answered > 1 && link.gap >= self.trusted_idle / 2;
+                    if proven {
+                        self.trusted_idle = self.trusted_idle.saturating_mul(51) / 50;
+                    }
                 }
                 self.end_call(out, &told);
             }
@@ -208,6 +217,7 @@
             result => {
                 // An answer that can't be read, or does not end: it ran. The connection is of no further use.
                 let spoilt = result.is_err() || stalled || !ended;
+                let kept = link.answered > 0;
                 // The first line says it all for one notice; for several, the whole answer would.
                 let told = match http::first_line(&link.input) {
                     Some(200..300) if push => Told {
@@ -220,10 +230,18 @@
                         wait: None,
                         report: None,
                     },
-                    _ if !written && link.input.is_empty() => Told::all(Status::NoConnection),
-                    _ if spoilt => Told::all(Status::Spoilt),
+                    // An answer that has begun and breaks off says, as a spoilt one does, that the partner is there.
+                    _ if spoilt || !link.input.is_empty() => Told::all(Status::Spoilt),
+                    // A connection that was kept and is dead at its next call says nothing of the partner.
+                    _ if kept && !written => Told::all(Status::NotSent),
+                    _ if kept => Told::all(Status::Dropped),
+                    _ if !written => Told::all(Status::NoConnection),
                     _ => Told::all(Status::Reset),
                 };
+                if kept && link.input.is_empty() {
+                    // Those kept as long will be dead, too.
+                    self.trusted_idle = self.trusted_idle.min((link.gap / 2).max(TRUST_LEAST));
+                }
                 log::debug!("partner {endpoint}: call broken off, {result:?}");
                 let Some(out) = call.take() else { return };
                 self.drop_link(id);
--- a/crates/cranehill/tests/spoilt.rs
+++ b/crates/cranehill/tests/spoilt.rs
@@ -65,3 +65,19 @@
     let connections: Vec<usize> = seen.iter().map(|s| s.0).collect();
     assert_eq!(connections, [0, 1, 2, 3, 3, 3], "one request a notice; whole answers keep the connection");
 }
+
+#[test]
+fn a_kept_connection_that_died_is_no_failure_of_the_partner_and_others_kept_as_long_are_not_used() {
+    let partner = StandIn::new(|_, number| if number == 1 { Reply::Close } else { Reply::status(200) })
+        .expect("partner");
+    let platform = platform();
+    let sender = start(&list(1, &[("a", partner.address, 7, "station")]), &platform);
+    let mut client = Client::new(sender.clients);
+    for (n, requests) in [1, 3, 4].into_iter().enumerate() {
+        assert_eq!(client.put(&format!("m{n}"), NAMES, b"x"), "+OK");
+        assert!(partner.wait_for(requests, SOON));
+        std::thread::sleep(Duration::from_millis(400));
+    }
+    let connections: Vec<usize> = partner.seen().iter().map(|s| s.connection).collect();
+    assert_eq!(connections, [0, 0, 1, 2]);
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -240,6 +240,9 @@
     NoConnection,
     /// The connection broke; it may have taken effect.
     Reset,
+    /// A connection that was kept broke under its next call, with no answer; it may have taken effect. It says
+    /// nothing of the destination: connections die unseen while idle.
+    Dropped,
     /// Called off; it may have taken effect.
     Cancelled,
     /// Never left the sender.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -577,7 +577,7 @@
                     let pause = grown.min(most).max(PAUSE_FIRST) * jitter;
                     lane.paused_until = lane.shut_until.max(now) + Duration::from_secs_f64(pause);
                 }
-                Status::Reset | Status::Cancelled | Status::NotSent => {}
+                Status::Reset | Status::Dropped | Status::Cancelled | Status::NotSent => {}
             }
             self.learn_idle(out.endpoint, status);
             self.note_sign(out.endpoint, status);
@@ -591,14 +591,14 @@
         let Some(message) = self.messages.get_mut(&number) else { return };
         let may_have_run = match status {
             Status::Served | Status::Error | Status::TimedOut | Status::Reset | Status::Cancelled => true,
-            Status::Spoilt => true,
+            Status::Spoilt | Status::Dropped => true,
             Status::Refused | Status::NoConnection | Status::NotSent => false,
             Status::Gone | Status::Rejected => false,
         };
         if may_have_run {
             message.maybe_ran.get_or_insert((out.sent, Some(out.endpoint)));
         }
-        if matches!(status, Status::TimedOut | Status::Reset | Status::Cancelled)
+        if matches!(status, Status::TimedOut | Status::Reset | Status::Dropped | Status::Cancelled)
             && let Some(line) = message.key.as_ref().and_then(|k| self.keys.get_mut(k))
         {
             (line.rest_until, line.rest_by) = (now + self.set.rules.key_quiet, number);
@@ -625,7 +625,7 @@
         let endpoint = &self.endpoints[e];
         let idled = endpoint.gap > IDLE_LEAST && endpoint.streak == 0;
         let lost = match status {
-            Status::TimedOut | Status::Reset => true,
+            Status::TimedOut | Status::Reset | Status::Dropped => true,
             Status::Served | Status::Error | Status::Spoilt | Status::Gone | Status::Rejected => false,
             Status::Refused | Status::NoConnection | Status::Cancelled | Status::NotSent => return,
         };
@@ -677,7 +677,7 @@
             Status::Error | Status::TimedOut | Status::NoConnection | Status::Reset => Sign::Bad,
             // An answer about one message only, or spoilt on its way: the service is neither better nor worse.
             Status::Gone | Status::Rejected | Status::Spoilt => return lane.window.answered(),
-            Status::Cancelled | Status::NotSent => return,
+            Status::Cancelled | Status::Dropped | Status::NotSent => return,
         };
         match status {
             Status::Served | Status::Error => lane.window.answered(),
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -209,3 +209,22 @@
     let trial = (305..2000).step_by(5).find_map(|ms| sends(&b.at(ms, vec![Event::Wake])).pop());
     assert_eq!(trial, Some(("m".to_owned(), "b".to_owned())));
 }
+
+/// wide+reset+stale, seed 125430522558: kept connections that died under their next call put healthy
+/// destinations out, and then held them to a cold one's budget for nine seconds.
+#[test]
+fn connections_that_died_while_kept_do_not_put_a_destination_out() {
+    for (status, stays) in [(Status::Dropped, true), (Status::Spoilt, true), (Status::Reset, false)] {
+        let mut b = Bench::new(settings(), vec![entry("a", 1, Condition::Ready, 0)]);
+        for i in 0..4u64 {
+            let id = format!("m{i}");
+            assert_eq!(
+                sends(&b.at(i * 20, vec![accept(&id, 2, None, 9000)])).len(),
+                usize::from(stays || i < 3)
+            );
+            b.at(i * 20 + 5, vec![outcome(&id, 0, status, 5)]);
+        }
+        let acts = b.at(100, vec![accept("m", 0, None, 9000)]);
+        assert_eq!(sends(&acts).len(), usize::from(stays), "{status:?}");
+    }
+}
