Spare fresh connections where places run out: those already answered end before them

Cause, in part: door.rs spared() ended connections that had not asked yet, however fresh, before those that had been answered, so clients that come at once ended each other before their requests were read. The crowd itself is not explained yet.

--- a/crates/cranehill/src/reactor/door.rs
+++ b/crates/cranehill/src/reactor/door.rs
@@ -39,14 +39,15 @@
 }
 
 /// In which order connections without a request end where places run out: those that never asked, once they
-/// had time to; those that may end at any time by the platform's rules; fresh ones; and who asked lately.
+/// had time to; those that may end at any time by the platform's rules; who asked lately; and fresh ones, whose
+/// request is on its way and would fail. When a sender stops, all its clients come to another at once.
 fn spared(link: &Link, now: Time) -> (u8, Time) {
     let waited = now - link.since;
     let class = match link.asked {
         false if waited >= FRESH => 0,
         true if waited >= SLOW_CLIENT => 1,
-        false => 2,
-        true => 3,
+        true => 2,
+        false => 3,
     };
     (class, link.since)
 }
--- a/crates/cranehill/tests/clients.rs
+++ b/crates/cranehill/tests/clients.rs
@@ -115,3 +115,20 @@
     assert!(partner.wait_for(1, SOON));
     assert_eq!(partner.seen().len(), 1);
 }
+
+/// Incident r84ba72: when the other sender restarts, its clients all come at once, while every place is held by
+/// one that has asked. The new ones ended each other before their requests were read.
+#[test]
+fn a_crowd_that_comes_at_once_takes_the_places_of_those_who_have_been_answered() {
+    let platform = platform();
+    let sender = start_with(&list(1, &[]), &platform, 256);
+    let ping = b"*1\r\n$4\r\nPING\r\n";
+    let ask = |client: &mut Client| {
+        client.send(ping);
+        assert_eq!(client.line(), "+PONG");
+    };
+    let mut answered: Vec<Client> = (0..200).map(|_| Client::new(sender.clients)).collect();
+    answered.iter_mut().for_each(ask);
+    let mut crowd: Vec<Client> = (0..64).map(|_| Client::new(sender.clients)).collect();
+    crowd.iter_mut().for_each(ask);
+}
