--- a/src/brain.rs
+++ b/src/brain.rs
@@ -482,7 +482,7 @@
             let lane = &mut self.lanes[lane];
             lane.toss_at = self.now;
             lane.demand.add(self.now, part);
-            // What a restart found came over the time that has passed since; as new demand it would be a burst
+            // What a restart found came over the time passed since; as new demand it would be a burst
             // that never was.
             if past.earlier_life {
                 lane.demand.since =
@@ -675,7 +675,7 @@
             Status::Served => Sign::Good,
             Status::Refused => Sign::Refused,
             Status::Error | Status::TimedOut | Status::NoConnection | Status::Reset => Sign::Bad,
-            // An answer about one message only, or spoilt on its way: the service is neither better nor worse.
+            // An answer about one message only, or spoilt on its way: it is neither better nor worse.
             Status::Gone | Status::Rejected | Status::Spoilt => return lane.window.answered(),
             Status::Cancelled | Status::Dropped | Status::NotSent => return,
         };
@@ -943,7 +943,7 @@
             })
     }
 
-    /// Whether an endpoint's failures still speak against it. They age: one that failed is tried again now and
+    /// Whether an endpoint's failures still speak against it. They age: one that failed is tried now and
     /// then though others would do, or it would be left out for good.
     fn shunned(&self, endpoint: &Endpoint) -> bool {
         let pause = TRIAL_FIRST * (1 << endpoint.streak.min(4));
