--- /dev/null
+++ b/crates/core/src/effect.rs
@@ -0,0 +1,94 @@
+//! What the reducer asks for.
+
+use std::sync::Arc;
+
+use tansycroft::Time;
+use tansycroft::api::EndpointId;
+
+use crate::notice::{Answer, Closing, Envelope, Origin};
+
+/// One notice in a call.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    pub id: String,
+    pub number: u32,
+    pub key: Option<String>,
+    pub body: Arc<[u8]>,
+    pub envelope: Option<Arc<Envelope>>,
+    /// When the wait for it ends.
+    pub until: Time,
+    /// It is out of time then, so its call need not be broken off for a further attempt.
+    pub last: bool,
+}
+
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Write these down, then say [`crate::Input::Kept`].
+    Keep(Vec<Record>),
+    Answer {
+        to: Origin,
+        id: String,
+        answer: Answer,
+    },
+    Call {
+        endpoint: EndpointId,
+        address: String,
+        attempts: Vec<Attempt>,
+    },
+    Report {
+        id: String,
+        closing: Closing,
+    },
+    /// End calls to these of which nothing is written yet: told to wait, or not to be sent to.
+    HoldBack {
+        endpoints: Vec<EndpointId>,
+    },
+    CloseIdle(EndpointId),
+    Check {
+        endpoint: EndpointId,
+        address: String,
+    },
+    WakeAt(Time),
+}
+
+/// What the journal keeps. Times are in nanoseconds on the core's clock, which is anchored to Unix time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Record {
+    Taken {
+        id: String,
+        class: usize,
+        station: usize,
+        partner: u64,
+        key: Option<String>,
+        deadline: u64,
+        /// When it was taken on.
+        at: u64,
+        body: Arc<[u8]>,
+    },
+    /// Written before the attempt goes out.
+    Sent { id: String, attempt: u32, endpoint: String, at: u64 },
+    /// The attempt is back; it may have run unless `never_ran`.
+    Back { id: String, attempt: u32, never_ran: bool },
+    /// Ended; the platform is still to be told.
+    Closing { id: String, closing: Closing },
+    /// Nothing more is owed; the id is remembered until then.
+    Over { id: String, until: u64 },
+}
+
+impl Record {
+    /// The notice that it is about.
+    pub fn id(&self) -> &str {
+        match self {
+            Record::Taken { id, .. }
+            | Record::Sent { id, .. }
+            | Record::Back { id, .. }
+            | Record::Closing { id, .. }
+            | Record::Over { id, .. } => id,
+        }
+    }
+
+    /// Tells how something ended that has happened already: it can't be refused, only written later.
+    pub fn is_end(&self) -> bool {
+        matches!(self, Record::Back { .. } | Record::Closing { .. } | Record::Over { .. })
+    }
+}
--- /dev/null
+++ b/crates/core/src/input.rs
@@ -0,0 +1,58 @@
+//! What the reducer is told.
+
+use std::time::Duration;
+
+use tansycroft::api::{EndpointId, Report, Status};
+
+use crate::effect::Record;
+use crate::notice::{Listing, Notice};
+
+/// How one notice's attempt ended.
+#[derive(Clone, Debug)]
+pub struct AttemptEnd {
+    pub id: String,
+    pub attempt: u32,
+    pub status: Status,
+    /// The partner says that the notice is over: nothing more is owed.
+    pub over: bool,
+    pub took: Duration,
+    pub told_wait: Option<Duration>,
+    pub report: Option<Report>,
+}
+
+#[derive(Debug)]
+pub enum Input {
+    Handed(Notice),
+    /// Whoever waited for this notice's end has left.
+    Withdrawn(String),
+    Listed {
+        whole: bool,
+        list: Vec<Listing>,
+    },
+    Ended(Vec<AttemptEnd>),
+    Checked {
+        endpoint: EndpointId,
+        status: Status,
+    },
+    /// The timer asked for with [`crate::Effect::WakeAt`] is due.
+    Due,
+    /// Everything of this turn is in.
+    TurnOver,
+    /// What of the records of [`crate::Effect::Keep`] is in the journal now.
+    Kept(Kept),
+    /// The platform has these closing reports.
+    Reported(Vec<String>),
+    /// What an earlier life left in the journal.
+    Recovered(Vec<Record>),
+    /// No new attempts: the process is about to end.
+    Stopping,
+}
+
+/// How much of a turn's records the journal took.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kept {
+    All,
+    /// There was room for what has ended only ([`Record::is_end`]).
+    Ends,
+    Nothing,
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,22 @@
+//! The state of the sender and its one reducer. [`Core::step`] is the only place where state changes; what
+//! is to be read or written in consequence is returned as effects. It knows no wire, socket, file or clock.
+//!
+//! Decisions (when, where, whether again, when to give up) are [`tansycroft::Sender`]'s alone. A turn goes in
+//! two steps: [`Input::TurnOver`] asks for the turn's records to be kept, and only [`Input::Kept`] lets out
+//! what depends on them: answers, calls and reports. So nothing is promised or sent that the journal lacks.
+//!
+//! Start at [`Core`], [`Input`] and [`Effect`]; [`Record`] is what the journal keeps.
+#![forbid(unsafe_code)]
+
+mod effect;
+mod ended;
+mod input;
+mod list;
+mod notice;
+mod recovery;
+mod reducer;
+
+pub use effect::{Attempt, Effect, Record};
+pub use input::{AttemptEnd, Input, Kept};
+pub use notice::{Answer, Closing, Envelope, Listing, Notice, Origin};
+pub use reducer::{Breaches, Core};
--- /dev/null
+++ b/crates/core/src/notice.rs
@@ -0,0 +1,78 @@
+//! What is handed in, and how it ends.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tansycroft::Time;
+use tansycroft::api::Entry;
+
+/// What a front passes along with a notice and the core does not look into.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Envelope {
+    /// Where at the partner it goes, if not to the usual place.
+    pub path: String,
+    /// Headers that travel with it unchanged.
+    pub headers: Vec<(String, String)>,
+    /// When it is worth nothing to its receiver any more.
+    pub expires: Time,
+}
+
+/// An episode notice as a client hands it in.
+#[derive(Clone, Debug)]
+pub struct Notice {
+    pub id: String,
+    /// Position in the settings' classes.
+    pub class: usize,
+    /// Position of the station in the settings.
+    pub station: usize,
+    /// The partner it is for.
+    pub partner: u64,
+    /// What the partner recognises a repeat by.
+    pub key: Option<String>,
+    pub body: Arc<[u8]>,
+    /// How long it may still be delivered.
+    pub left: Duration,
+    /// Attempts that it may not use.
+    pub spent: u32,
+    pub envelope: Option<Arc<Envelope>>,
+    pub from: Origin,
+}
+
+/// Who waits for an answer about a notice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A client that is told when the notice is taken on, and of its end through the platform.
+    Client(usize),
+    /// A client whose answer is the notice's end; nothing is promised before, so nothing outlasts us.
+    Waiting(usize),
+    /// An earlier life of this sender.
+    Ledger,
+}
+
+/// The answer to who handed a notice in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    TakenOn,
+    Refused {
+        after: Option<Duration>,
+    },
+    Failed,
+    Delivered,
+    Gone,
+    /// Its time is out.
+    GivenUp,
+}
+
+/// How a notice that was taken on ended without delivery, as the platform is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Closing {
+    Returned { after_ms: u64 },
+    Failed,
+}
+
+/// One endpoint as the directory lists it.
+#[derive(Clone, Debug)]
+pub struct Listing {
+    pub entry: Entry,
+    pub address: String,
+}
--- a/crates/cranehill/src/core.rs
+++ b/crates/core/src/reducer.rs
@@ -1,212 +1,24 @@
-//! The state of the sender and its one reducer. [`Core::step`] is the only place where state changes; what
-//! is to be read or written in consequence is returned as effects. It knows no wire, socket, file or clock.
-//!
-//! Decisions (when, where, whether again, when to give up) are [`tansycroft::Sender`]'s alone. A turn goes in
-//! two steps: [`Input::TurnOver`] asks for the turn's records to be kept, and only [`Input::Kept`] lets out
-//! what depends on them: answers, calls and reports. So nothing is promised or sent that the ledger lacks.
+//! [`Core`]: all state, and the one place where it changes.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::sync::Arc;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use tansycroft::api::{
-    Action, Condition, DestId, EndpointId, Entry, Event, MsgId, Outcome, Past, Report, Settings, Status,
-    Taken,
+    Action, DestId, EndpointId, Entry, Event, MsgId, Outcome, Past, Settings, Status, Taken,
 };
 use tansycroft::{Sender, SettingsError, Time};
 
+use crate::effect::{Attempt, Effect, Record};
+use crate::ended::Ended;
+use crate::input::{AttemptEnd, Input, Kept};
+use crate::notice::{Answer, Closing, Notice, Origin};
+
 /// The largest body of a call with several notices, and what each adds besides its own body and key.
 const CALL_MOST: usize = 64 * 1024;
 const ITEM: usize = 128;
-/// A partner that is no longer listed is known for so long.
-const FORGOTTEN: Duration = Duration::from_secs(600);
-/// Notices that have ended and are remembered, at most.
-const ENDED_MOST: usize = 8192;
-
-/// What a front passes along with a notice and the core does not look into.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Envelope {
-    /// Where at the partner it goes, if not to the usual place.
-    pub path: String,
-    /// Headers that travel with it unchanged.
-    pub headers: Vec<(String, String)>,
-    /// When it is worth nothing to its receiver any more.
-    pub expires: Time,
-}
-
-/// An episode notice as a client hands it in.
-#[derive(Clone, Debug)]
-pub struct Notice {
-    pub id: String,
-    /// Position in the settings' classes.
-    pub class: usize,
-    /// Position of the station in the settings.
-    pub station: usize,
-    /// The partner it is for.
-    pub partner: u64,
-    /// What the partner recognises a repeat by.
-    pub key: Option<String>,
-    pub body: Arc<[u8]>,
-    /// How long it may still be delivered.
-    pub left: Duration,
-    /// Attempts that it may not use.
-    pub spent: u32,
-    pub envelope: Option<Arc<Envelope>>,
-    pub from: Origin,
-}
-
-/// Who waits for an answer about a notice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Origin {
-    /// A client that is told when the notice is taken on, and of its end through the platform.
-    Client(usize),
-    /// A client whose answer is the notice's end; nothing is promised before, so nothing outlasts us.
-    Waiting(usize),
-    /// An earlier life of this sender.
-    Ledger,
-}
-
-/// The answer to who handed a notice in.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Answer {
-    TakenOn,
-    Refused {
-        after: Option<Duration>,
-    },
-    Failed,
-    Delivered,
-    Gone,
-    /// Its time is out.
-    GivenUp,
-}
-
-/// How a notice that was taken on ended without delivery, as the platform is told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Closing {
-    Returned { after_ms: u64 },
-    Failed,
-}
-
-/// One endpoint as the directory lists it.
-#[derive(Clone, Debug)]
-pub struct Listing {
-    pub entry: Entry,
-    pub address: String,
-}
-
-/// How one notice's attempt ended.
-#[derive(Clone, Debug)]
-pub struct AttemptEnd {
-    pub id: String,
-    pub attempt: u32,
-    pub status: Status,
-    /// The partner says that the notice is over: nothing more is owed.
-    pub over: bool,
-    pub took: Duration,
-    pub told_wait: Option<Duration>,
-    pub report: Option<Report>,
-}
-
-#[derive(Debug)]
-pub enum Input {
-    Handed(Notice),
-    /// Whoever waited for this notice's end has left.
-    Withdrawn(String),
-    Listed {
-        whole: bool,
-        list: Vec<Listing>,
-    },
-    Ended(Vec<AttemptEnd>),
-    Checked {
-        endpoint: EndpointId,
-        status: Status,
-    },
-    /// The timer asked for with [`Effect::WakeAt`] is due.
-    Due,
-    /// Everything of this turn is in.
-    TurnOver,
-    /// The records of [`Effect::Keep`] are in the ledger, or could not be written.
-    Kept(bool),
-    /// The platform has these closing reports.
-    Reported(Vec<String>),
-    /// What an earlier life left in the ledger.
-    Recovered(Vec<Record>),
-    /// No new attempts: the process is about to end.
-    Stopping,
-}
-
-/// One notice in a call.
-#[derive(Clone, Debug)]
-pub struct Attempt {
-    pub id: String,
-    pub number: u32,
-    pub key: Option<String>,
-    pub body: Arc<[u8]>,
-    pub envelope: Option<Arc<Envelope>>,
-    /// When the wait for it ends.
-    pub until: Time,
-    /// It is out of time then, so its call need not be broken off for a further attempt.
-    pub last: bool,
-}
-
-#[derive(Clone, Debug)]
-pub enum Effect {
-    /// Write these down, then say [`Input::Kept`].
-    Keep(Vec<Record>),
-    Answer {
-        to: Origin,
-        id: String,
-        answer: Answer,
-    },
-    Call {
-        endpoint: EndpointId,
-        address: String,
-        attempts: Vec<Attempt>,
-    },
-    Report {
-        id: String,
-        closing: Closing,
-    },
-    /// End calls to these of which nothing is written yet: told to wait, or not to be sent to.
-    HoldBack {
-        endpoints: Vec<EndpointId>,
-    },
-    CloseIdle(EndpointId),
-    Check {
-        endpoint: EndpointId,
-        address: String,
-    },
-    WakeAt(Time),
-}
-
-/// What the ledger keeps. Times are on the core's clock, which is anchored to Unix time.
-#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
-#[serde(rename_all = "snake_case")]
-pub enum Record {
-    Taken {
-        id: String,
-        class: usize,
-        station: usize,
-        partner: u64,
-        key: Option<String>,
-        deadline: u64,
-        #[serde(skip)]
-        body: Arc<[u8]>,
-    },
-    /// Written before the attempt goes out.
-    Sent { id: String, attempt: u32, endpoint: String, at: u64 },
-    /// The attempt is back; it may have run unless `never_ran`.
-    Back { id: String, attempt: u32, never_ran: bool },
-    /// Ended; the platform is still to be told.
-    Closing { id: String, closing: Closing },
-    /// Nothing more is owed.
-    Over { id: String },
-}
 
 /// When, where and as which attempt a notice first went out that may have run.
-type FirstRun = (Time, EndpointId, u32);
+pub(crate) type FirstRun = (Time, EndpointId, u32);
 
 /// What is known of a notice that is held.
 #[derive(Debug)]
@@ -221,10 +33,11 @@
     gone: bool,
 }
 
+/// An endpoint as it was listed last.
 #[derive(Debug)]
-struct Partner {
-    endpoint: Entry,
-    address: String,
+pub(crate) struct Listed {
+    pub(crate) endpoint: Entry,
+    pub(crate) address: String,
 }
 
 /// What must hold, counted where it does not. Debug builds stop instead.
@@ -239,17 +52,18 @@
 pub struct Core {
     sender: Sender,
     set: Settings,
-    now: Time,
+    pub(crate) now: Time,
     held: BTreeMap<String, Held>,
-    closing: BTreeMap<String, Closing>,
-    list: BTreeMap<EndpointId, Partner>,
+    pub(crate) closing: BTreeMap<String, Closing>,
+    pub(crate) list: BTreeMap<EndpointId, Listed>,
     /// Partners listed now, or until lately, and when last.
-    known: BTreeMap<u64, Time>,
-    /// Ids of notices taken on that have ended, in the order in which they are forgotten.
-    ended: BTreeSet<String>,
-    ended_order: VecDeque<(Time, String)>,
-    events: Vec<Event>,
+    pub(crate) known: BTreeMap<u64, Time>,
+    /// Notices taken on that have ended.
+    pub(crate) ended: Ended,
+    pub(crate) events: Vec<Event>,
     records: Vec<Record>,
+    /// Ends that the journal had no room for: they go into its next turn again.
+    unkept: Vec<Record>,
     deferred: Vec<Effect>,
     /// Handed in this turn and not answered yet.
     fresh: BTreeSet<String>,
@@ -277,10 +91,10 @@
             closing: BTreeMap::new(),
             list: BTreeMap::new(),
             known: BTreeMap::new(),
-            ended: BTreeSet::new(),
-            ended_order: VecDeque::new(),
+            ended: Ended::default(),
             events: Vec::new(),
             records: Vec::new(),
+            unkept: Vec::new(),
             deferred: Vec::new(),
             fresh: BTreeSet::new(),
             stopping: false,
@@ -315,7 +129,8 @@
             Input::Reported(ids) => {
                 for id in ids {
                     if self.closing.remove(&id).is_some() {
-                        self.records.push(Record::Over { id });
+                        let until = self.remember(&id);
+                        self.records.push(Record::Over { id, until: until.0 });
                     }
                 }
                 Vec::new()
@@ -349,33 +164,6 @@
         (self.held.len(), self.closing.len())
     }
 
-    /// Everything owed, as the shortest run of records that [`Input::Recovered`] makes the same of.
-    pub fn snapshot(&self) -> Vec<Record> {
-        let mut records = Vec::new();
-        for (id, held) in self.held.iter().filter(|(_, h)| h.taken_on) {
-            records.push(held.taken());
-            let sent = |attempt: u32, endpoint: &EndpointId, at: Time| Record::Sent {
-                id: id.clone(),
-                attempt,
-                endpoint: endpoint.0.clone(),
-                at: at.0,
-            };
-            if let Some((at, endpoint, number)) = &held.maybe_ran {
-                records.push(sent(*number, endpoint, *at));
-            } else if held.attempts > 0 {
-                records.push(sent(held.attempts - 1, &EndpointId(String::new()), self.now));
-                records.push(Record::Back { id: id.clone(), attempt: held.attempts - 1, never_ran: true });
-            }
-            if held.maybe_ran.as_ref().is_some_and(|m| m.2 + 1 < held.attempts) {
-                records.push(sent(held.attempts - 1, &EndpointId(String::new()), self.now));
-            }
-        }
-        for (id, &closing) in &self.closing {
-            records.push(Record::Closing { id: id.clone(), closing });
-        }
-        records
-    }
-
     fn on_handed(&mut self, notice: Notice) -> Vec<Effect> {
         // The same id again is the same notice: a client resends what it could not know we had read.
         if let Some(held) = self.held.get(&notice.id) {
@@ -397,7 +185,7 @@
         Vec::new()
     }
 
-    fn hold(&mut self, notice: Notice, deadline: Time, maybe_ran: Option<FirstRun>) {
+    pub(crate) fn hold(&mut self, notice: Notice, deadline: Time, maybe_ran: Option<FirstRun>) {
         let past = Past {
             attempts: notice.spent,
             earlier_life: notice.from == Origin::Ledger,
@@ -418,37 +206,6 @@
         self.held.insert(id, held);
     }
 
-    fn on_listed(&mut self, whole: bool, list: Vec<Listing>) -> Vec<Effect> {
-        let mut hold_back = Vec::new();
-        if whole {
-            let named: BTreeSet<&EndpointId> = list.iter().map(|l| &l.entry.endpoint).collect();
-            hold_back.extend(self.list.keys().filter(|e| !named.contains(e)).cloned());
-        }
-        let mut entries = Vec::new();
-        for Listing { entry, address } in list {
-            if entry.condition != Condition::Ready {
-                hold_back.push(entry.endpoint.clone());
-            }
-            entries.push(entry.clone());
-            self.list.insert(entry.endpoint.clone(), Partner { endpoint: entry, address });
-        }
-        // What has gone must not be kept: on a long day the directory names endpoints without end.
-        if whole {
-            self.list.retain(|e, _| entries.iter().any(|entry| entry.endpoint == *e));
-        }
-        self.list.retain(|_, p| p.endpoint.condition != Condition::Gone);
-        for partner in self.list.values() {
-            self.known.insert(partner.endpoint.dest.0, self.now);
-        }
-        let now = self.now;
-        self.known.retain(|_, listed| now - *listed < FORGOTTEN);
-        self.events.push(Event::List { whole, entries });
-        // Idle connections there would only hold descriptors, and must not serve who comes to that address next.
-        let mut effects: Vec<Effect> = hold_back.iter().cloned().map(Effect::CloseIdle).collect();
-        effects.push(Effect::HoldBack { endpoints: hold_back });
-        effects
-    }
-
     fn on_ended(&mut self, ends: Vec<AttemptEnd>) -> Vec<Effect> {
         let mut effects = Vec::new();
         for end in ends {
@@ -476,8 +233,9 @@
                         if end.status == Status::Served { Answer::Delivered } else { Answer::Failed };
                     self.deferred.push(Effect::Answer { to: held.notice.from, id, answer });
                 } else {
-                    self.note_ended(&id);
-                    self.records.push(Record::Over { id });
+                    self.remember(&id);
+                    let until = self.remember(&id).0;
+                    self.records.push(Record::Over { id, until });
                 }
             } else if held.taken_on {
                 self.records.push(Record::Back { id, attempt, never_ran });
@@ -485,7 +243,7 @@
             self.events.push(outcome(end, over));
             // A call still on its way to its connection would arrive inside the wait.
             if told.is_some() {
-                let same = |p: &&Partner| p.endpoint.dest == DestId(partner);
+                let same = |p: &&Listed| p.endpoint.dest == DestId(partner);
                 let endpoints = self.list.values().filter(same).map(|p| p.endpoint.endpoint.clone());
                 effects.push(Effect::HoldBack { endpoints: endpoints.collect() });
             }
@@ -493,17 +251,16 @@
         effects
     }
 
-    fn note_ended(&mut self, id: &str) {
-        let longest = self.set.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
-        if self.ended.insert(id.to_owned()) {
-            self.ended_order.push_back((self.now + longest, id.to_owned()));
-        }
-        while self.ended_order.len() > ENDED_MOST
-            || self.ended_order.front().is_some_and(|(until, _)| *until <= self.now)
-        {
-            let Some((_, id)) = self.ended_order.pop_front() else { return };
-            self.ended.remove(&id);
-        }
+    /// Remembers an id that has ended for as long as a notice lasts, and tells until when.
+    pub(crate) fn remember(&mut self, id: &str) -> Time {
+        let until = self.now + self.longest();
+        self.ended.note(id, until, self.now);
+        until
+    }
+
+    /// How long a notice lasts at most.
+    pub(crate) fn longest(&self) -> Duration {
+        self.set.classes.iter().map(|c| c.deadline).max().unwrap_or_default()
     }
 
     /// Lets the module decide on all that came in this turn.
@@ -534,7 +291,7 @@
                 Action::Subscribe => {}
             }
         }
-        // What survived its first verdict is taken on; its answer waits for the ledger, and goes first, since
+        // What survived its first verdict is taken on; its answer waits for the journal, and goes first, since
         // a delivery counts only once the client knows that we have the notice.
         let mut answers = Vec::new();
         for id in std::mem::take(&mut self.fresh) {
@@ -542,7 +299,7 @@
                 && let Origin::Client(_) = held.notice.from
             {
                 held.taken_on = true;
-                self.records.push(held.taken());
+                self.records.push(held.taken(self.now));
                 answers.push(Effect::Answer { to: held.notice.from, id, answer: Answer::TakenOn });
             }
         }
@@ -558,7 +315,9 @@
         if self.records.is_empty() {
             return std::mem::take(&mut self.deferred);
         }
-        vec![Effect::Keep(std::mem::take(&mut self.records))]
+        let records = std::mem::take(&mut self.records);
+        self.unkept = records.iter().filter(|r| r.is_end()).cloned().collect();
+        vec![Effect::Keep(records)]
     }
 
     fn on_send(
@@ -612,7 +371,7 @@
             let after_ms = after.map_or(0, |a| a.as_millis() as u64);
             let closing = if harmless { Closing::Returned { after_ms } } else { Closing::Failed };
             self.closing.insert(id.clone(), closing);
-            self.note_ended(&id);
+            self.remember(&id);
             self.records.push(Record::Closing { id: id.clone(), closing });
             self.deferred.push(Effect::Report { id, closing });
             return;
@@ -626,11 +385,16 @@
         self.deferred.push(Effect::Answer { to: held.notice.from, id, answer });
     }
 
-    fn on_kept(&mut self, kept: bool) -> Vec<Effect> {
+    fn on_kept(&mut self, kept: Kept) -> Vec<Effect> {
         let effects = std::mem::take(&mut self.deferred);
-        if kept {
+        let unkept = std::mem::take(&mut self.unkept);
+        if kept == Kept::All {
             return effects;
         }
+        // An end that is not written down would be forgotten by the next life: it is asked for again.
+        if kept == Kept::Nothing {
+            self.records.extend(unkept);
+        }
         // The disk is full: what is new is refused, and no attempt goes out that a restart would not know of.
         let mut out = Vec::new();
         for effect in effects {
@@ -659,60 +423,10 @@
         }
         out
     }
-
-    fn on_recovered(&mut self, records: Vec<Record>) -> Vec<Effect> {
-        let mut open: BTreeMap<String, (Notice, Time, Option<FirstRun>)> = BTreeMap::new();
-        for record in records {
-            match record {
-                Record::Taken { id, class, station, partner, key, deadline, body } => {
-                    let deadline = Time(deadline);
-                    let left = deadline - self.now;
-                    let (spent, envelope, from) = (0, None, Origin::Ledger);
-                    let notice = Notice {
-                        id: id.clone(),
-                        class,
-                        station,
-                        partner,
-                        key,
-                        body,
-                        left,
-                        spent,
-                        envelope,
-                        from,
-                    };
-                    open.insert(id, (notice, deadline, None));
-                }
-                Record::Sent { id, attempt, endpoint, at } => {
-                    if let Some((notice, _, maybe_ran)) = open.get_mut(&id) {
-                        notice.spent = notice.spent.max(attempt + 1);
-                        maybe_ran.get_or_insert((Time(at), EndpointId(endpoint), attempt));
-                    }
-                }
-                Record::Back { id, attempt, never_ran } => {
-                    if let Some((.., maybe_ran)) = open.get_mut(&id) {
-                        maybe_ran.take_if(|(.., number)| never_ran && *number == attempt);
-                    }
-                }
-                Record::Closing { id, closing } => {
-                    open.remove(&id);
-                    self.closing.insert(id, closing);
-                }
-                Record::Over { id } => {
-                    open.remove(&id);
-                    self.closing.remove(&id);
-                }
-            }
-        }
-        for (notice, deadline, maybe_ran) in open.into_values() {
-            self.hold(notice, deadline, maybe_ran);
-        }
-        let report = |(id, &closing): (&String, &Closing)| Effect::Report { id: id.clone(), closing };
-        self.closing.iter().map(report).collect()
-    }
 }
 
 impl Held {
-    fn taken(&self) -> Record {
+    fn taken(&self, now: Time) -> Record {
         let n = &self.notice;
         Record::Taken {
             id: n.id.clone(),
@@ -721,6 +435,7 @@
             partner: n.partner,
             key: n.key.clone(),
             deadline: self.deadline.0,
+            at: now.0,
             body: n.body.clone(),
         }
     }
--- a/crates/cranehill/src/cli.rs
+++ b/crates/cranehill/src/cli.rs
@@ -4,12 +4,13 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
+use cranehill_journal::Key;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
-use crate::config::{self, Config};
-use crate::reactor::{self, Order, Reactor, Setup};
-use crate::webpush;
 use crate::{nginx, rehearsal};
+use cranehill_daemon::config::{self, Config};
+use cranehill_daemon::reactor::{self, Order, Reactor, Setup, State};
+use cranehill_daemon::webpush;
 
 #[derive(Parser)]
 #[command(
@@ -29,6 +30,9 @@
         /// Also speak Web Push, as this file says. Without NODE_CONFIG, that front alone.
         #[arg(long, value_name = "FILE")]
         webpush: Option<PathBuf>,
+        /// The key under which the journal is signed: 64 hexadecimal digits. Without it the folder has its own.
+        #[arg(long, value_name = "FILE")]
+        journal_key: Option<PathBuf>,
     },
     /// Print the version.
     Version,
@@ -57,7 +61,7 @@
         .format_timestamp_millis()
         .init();
     let result = match Args::parse().command {
-        Command::Serve { webpush } => serve(webpush.as_deref()),
+        Command::Serve { webpush, journal_key } => serve(webpush.as_deref(), journal_key.as_deref()),
         Command::Version => {
             println!("cranehill {}", env!("CARGO_PKG_VERSION"));
             Ok(())
@@ -87,7 +91,7 @@
     webpush::parse_file(&read(path)?).map_err(|e| format!("{}: {e}", path.display()))
 }
 
-fn setup(config: Option<Config>, push: Option<webpush::File>) -> Result<Setup, String> {
+fn setup(config: Option<Config>, push: Option<webpush::File>, key: Option<Key>) -> Result<Setup, String> {
     let Some(config) = config else {
         let push = push.ok_or("NODE_CONFIG is not set and no --webpush is given")?;
         if push.listen.is_none() {
@@ -111,7 +115,7 @@
     Ok(Setup {
         site: config.site,
         seed: config.seed,
-        state: Some((config.state, (config.limits.disk_mb * 1e6) as u64)),
+        state: Some(State { dir: config.state, disk: (config.limits.disk_mb * 1e6) as u64, key }),
         listen: Some(config.listen),
         discovery: Some(config.discovery),
         known_version: config.known_version,
@@ -127,12 +131,13 @@
     variable("NODE_CONFIG").map(|_| config::load(variable)).transpose()
 }
 
-fn serve(webpush: Option<&Path>) -> Result<(), String> {
+fn serve(webpush: Option<&Path>, key: Option<&Path>) -> Result<(), String> {
     let push = webpush.map(webpush_file).transpose()?;
+    let key = key.map(journal_key).transpose()?;
     // Before anything else: a signal that comes while we start must not end the process.
     let mut signals = signal_hook_mio::v1_0::Signals::new([SIGTERM, SIGINT, SIGHUP])
         .map_err(|e| format!("signals: {e}"))?;
-    let mut reactor = Reactor::new(setup(load_config()?, push)?)?;
+    let mut reactor = Reactor::new(setup(load_config()?, push, key)?)?;
     reactor
         .registry()
         .register(&mut signals, reactor::SIGNALS, mio::Interest::READABLE)
@@ -145,6 +150,15 @@
     std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))
 }
 
+fn journal_key(path: &Path) -> Result<Key, String> {
+    let text = read(path)?;
+    let digits: Vec<u32> = text.trim().chars().map_while(|c| c.to_digit(16)).collect();
+    if digits.len() != 64 || text.trim().len() != 64 {
+        return Err(format!("{}: line 1: not a key of 64 hexadecimal digits", path.display()));
+    }
+    Ok(std::array::from_fn(|i| (digits[i * 2] << 4 | digits[i * 2 + 1]) as u8))
+}
+
 fn import_nginx(path: &Path) -> Result<(), String> {
     let named = |e: String| format!("{}: {e}", path.display());
     let imported = nginx::import(&read(path)?).map_err(named)?;
--- a/crates/cranehill/src/nginx.rs
+++ b/crates/cranehill/src/nginx.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use crate::webpush::{File, Location, Server, Upstream};
+use cranehill_daemon::webpush::{File, Location, Server, Upstream};
 
 /// What was imported, and what was not: line and text.
 #[derive(Debug)]
--- a/crates/cranehill/src/rehearsal.rs
+++ b/crates/cranehill/src/rehearsal.rs
@@ -8,9 +8,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::http::{self, Request};
-use crate::reactor::{Reactor, Setup};
-use crate::webpush;
+use cranehill_daemon::http::{self, Request};
+use cranehill_daemon::reactor::{Reactor, Setup};
+use cranehill_daemon::webpush;
 
 /// How a stand-in answers one request.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/cranehill/tests/common/mod.rs
+++ b/crates/cranehill/tests/common/mod.rs
@@ -5,10 +5,10 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
-use cranehill::config::{self, Config};
-use cranehill::http;
-use cranehill::reactor::{Halter, Reactor, Setup};
 use cranehill::rehearsal::{Reply, StandIn};
+use cranehill_daemon::config::{self, Config};
+use cranehill_daemon::http;
+use cranehill_daemon::reactor::{Halter, Reactor, Setup};
 
 /// Longer than anything here takes: only a failure waits so long.
 pub const SOON: Duration = Duration::from_secs(10);
--- a/crates/cranehill/tests/parsers.rs
+++ b/crates/cranehill/tests/parsers.rs
@@ -4,10 +4,11 @@
 
 use std::time::Duration;
 
-use cranehill::clients::{self, Request};
-use cranehill::http::{self, Response};
-use cranehill::partners::{self, Verdict};
-use cranehill::{config, directory, nginx, rehearsal, webpush};
+use cranehill::{nginx, rehearsal};
+use cranehill_daemon::clients::{self, Request};
+use cranehill_daemon::http::{self, Response};
+use cranehill_daemon::partners::{self, Verdict};
+use cranehill_daemon::{config, directory, webpush};
 use tansycroft::api::{Condition, Status};
 
 #[test]
--- a/crates/cranehill/tests/webpush.rs
+++ b/crates/cranehill/tests/webpush.rs
@@ -10,10 +10,10 @@
 use base64::Engine;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use common::SOON;
-use cranehill::http::{self, Response, header};
-use cranehill::reactor::{Halter, Reactor, Setup};
 use cranehill::rehearsal::{Reply, StandIn, push_setup};
-use cranehill::webpush::VapidFile;
+use cranehill_daemon::http::{self, Response, header};
+use cranehill_daemon::reactor::{Halter, Reactor, Setup};
+use cranehill_daemon::webpush::VapidFile;
 use p256::ecdsa::signature::Verifier;
 use p256::ecdsa::{Signature, SigningKey, VerifyingKey};
 
--- a/crates/cranehill/src/clients.rs
+++ b/crates/daemon/src/clients.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::config::Site;
-use crate::core::{Answer, Notice, Origin};
+use cranehill_core::{Answer, Notice, Origin};
 
 /// The largest body of a notice, and room for the words before it.
 const WORD_MOST: usize = 64 * 1024;
--- a/crates/cranehill/src/closing.rs
+++ b/crates/daemon/src/closing.rs
@@ -4,8 +4,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::core::Closing;
 use crate::http;
+use cranehill_core::Closing;
 
 /// Pause before a report is sent again, and how long its answer may take.
 pub const AGAIN: Duration = Duration::from_millis(100);
--- a/crates/cranehill/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -8,8 +8,8 @@
 use tansycroft::api::Settings;
 use tansycroft::profile::{Names, Profile};
 
-use crate::core::Listing;
 use crate::directory;
+use cranehill_core::Listing;
 
 /// The deployment's settings and the names on its wires.
 #[derive(Clone, Debug)]
--- a/crates/cranehill/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -6,8 +6,8 @@
 use tansycroft::api::{Condition, DestId, EndpointId, Entry};
 
 use crate::config::Site;
-use crate::core::Listing;
 use crate::http;
+use cranehill_core::Listing;
 
 /// How long a watch is held; what is told meanwhile answers it at once.
 const HOLD: Duration = Duration::from_secs(10);
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,13 @@
+//! The sender on sockets. [`reactor::Reactor`] is where to start: it carries out what `cranehill_core` asks for.
+//! `clients`, `partners`, `directory`, `closing` and `webpush` each say how one peer speaks, without I/O.
+#![forbid(unsafe_code)]
+
+pub mod clients;
+pub mod closing;
+pub mod config;
+pub mod directory;
+pub mod http;
+mod link;
+pub mod partners;
+pub mod reactor;
+pub mod webpush;
--- a/crates/cranehill/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -7,8 +7,8 @@
 use tansycroft::Time;
 use tansycroft::api::EndpointId;
 
-use crate::core::Attempt;
 use crate::{clients, http};
+use cranehill_core::Attempt;
 
 /// The most that is read ahead on a connection, but for clients'.
 pub const ANSWER_MOST: usize = http::BODY_MOST + 32 * 1024;
@@ -142,6 +142,11 @@
         Clock { start: Instant::now(), unix }
     }
 
+    /// Goes on from `least` since 1970 if it is behind that.
+    pub fn not_before(&mut self, least: Duration) {
+        self.unix = self.unix.max(least.saturating_sub(self.start.elapsed()));
+    }
+
     pub fn now(&self) -> Time {
         Time((self.unix + self.start.elapsed()).as_nanos() as u64)
     }
--- a/crates/cranehill/src/partners.rs
+++ b/crates/daemon/src/partners.rs
@@ -9,8 +9,8 @@
 use tansycroft::Time;
 use tansycroft::api::{Report, Status};
 
-use crate::core::Attempt;
 use crate::http::{self, Response, header};
+use cranehill_core::Attempt;
 
 /// What an answer says of one notice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/cranehill/src/reactor.rs
+++ b/crates/daemon/src/reactor.rs
@@ -20,16 +20,17 @@
 use tansycroft::Time;
 use tansycroft::api::{EndpointId, Status};
 
+use crate::clients;
 use crate::closing::{self, Reports};
 use crate::config::Site;
-use crate::core::{Attempt, AttemptEnd, Core, Effect, Input, Listing, Origin};
 use crate::directory;
 use crate::http;
-use crate::ledger::Ledger;
 use crate::link::{ANSWER_MOST, Clock, Link, Out, Role, consume};
 use crate::partners::{self, Told, Verdict};
 use crate::webpush::{self, Push};
-use crate::{clients, core};
+use cranehill_core as core;
+use cranehill_core::{Attempt, AttemptEnd, Core, Effect, Input, Kept, Listing, Origin};
+use cranehill_journal::{Folder, Journal, Key, Options, Recovered};
 
 const CLIENTS: Token = Token(0);
 const PUSHES: Token = Token(1);
@@ -46,17 +47,21 @@
 /// SIGKILL comes at 3.7 s.
 const STOP_ALL: Duration = Duration::from_millis(3400);
 /// Descriptors that are neither clients' nor partners': the listeners, the poll, signals, the directory, the
-/// reports, the ledger and its rewriting.
+/// reports, the journal's head and what it reads or writes besides.
 const KEPT_SOCKETS: usize = 24;
 /// Connections to partners kept idle besides the calls that may be out.
 const IDLE_SOCKETS: usize = 32;
 
+/// How long compaction rests when it can't go on, and how often the log says so.
+const STUCK_PAUSE: Duration = Duration::from_millis(100);
+const TELL_STUCK: Duration = Duration::from_secs(5);
+
 /// What a running sender is made of.
 pub struct Setup {
     pub site: Site,
     pub seed: u64,
-    /// The folder that lasts, and how many bytes it may hold.
-    pub state: Option<(PathBuf, u64)>,
+    /// The folder that lasts.
+    pub state: Option<State>,
     pub listen: Option<SocketAddr>,
     pub discovery: Option<SocketAddr>,
     pub known_version: u64,
@@ -69,6 +74,15 @@
     pub reread: Option<Reread>,
 }
 
+/// The folder that lasts.
+pub struct State {
+    pub dir: PathBuf,
+    /// Bytes that it may hold.
+    pub disk: u64,
+    /// An operator's key for the journal; else the folder has its own.
+    pub key: Option<Key>,
+}
+
 /// See [`Setup::reread`].
 pub type Reread = Box<dyn FnMut() -> Result<SocketAddr, String> + Send>;
 
@@ -86,7 +100,7 @@
     clock: Clock,
     site: Site,
     core: Core,
-    ledger: Option<Ledger>,
+    journal: Option<Journal<Folder>>,
     push: Option<Push>,
     clients: Option<TcpListener>,
     pushes: Option<TcpListener>,
@@ -101,6 +115,9 @@
     /// Connections closed unserved since the log last told.
     turned_away: u64,
     tell_away: Time,
+    /// Notices refused for want of room in the journal since the log last told.
+    turned_back: u64,
+    tell_back: Time,
     reread: Option<Reread>,
     /// When to read the configuration again, and until when to try.
     reload: Option<(Time, Time)>,
@@ -112,6 +129,9 @@
     watch_asked: Time,
     reports: Reports,
     report_at: Time,
+    /// When the journal may take its next step of upkeep, and when the log may say again that it can't.
+    upkeep_at: Time,
+    tell_stuck: Time,
     wakes: BTreeSet<Time>,
     /// Something has come in since the last turn.
     dirty: bool,
@@ -157,13 +177,65 @@
     listener.as_ref().and_then(|l| l.local_addr().ok()).map_or("nowhere".into(), |a| a.to_string())
 }
 
+fn millis(time: Time) -> u64 {
+    time.0 / 1_000_000
+}
+
+fn open_journal(state: State, now: u64) -> Result<(Journal<Folder>, Recovered), String> {
+    let shown = state.dir.display().to_string();
+    let folder = Folder::new(&state.dir, state.disk).map_err(|e| format!("{shown}: {e}"))?;
+    let mut fresh_key = Key::default();
+    getrandom::fill(&mut fresh_key).map_err(|e| format!("no random bytes for the journal's key: {e}"))?;
+    let options = Options { disk: state.disk, key: state.key, fresh_key };
+    Journal::open(folder, &options, now).map_err(|e| format!("{shown}: {e}"))
+}
+
+/// What the on-call staff should know of how the folder was found.
+fn tell_recovered(recovered: &Recovered) {
+    let (open, closing, remembered) = recovered.counts;
+    log::info!(open, closing, remembered, latest_ms = recovered.latest;
+        "journal: {open} notices open, {closing} reports due, {remembered} ended ids remembered");
+    if let Some((file, bytes)) = &recovered.torn {
+        log::warn!(segment = file.as_str(), bytes = *bytes;
+            "journal: {bytes} bytes of a write that was cut off at the end of {file}; nothing in it was promised");
+    }
+    for d in &recovered.damage {
+        log::error!(segment = d.file.as_str(), offset = d.offset, bytes = d.len, why:? = d.why, notices = d.taken;
+            "journal: damage ({:?}) in {} at {}, {} bytes; at most {} notices taken on there are lost",
+            d.why, d.file, d.offset, d.len, d.taken);
+    }
+    for lost in &recovered.lost {
+        log::error!(id = lost.id.as_str(), segment = lost.file.as_str(), offset = lost.offset;
+            "journal: the record of {} is gone, an attempt of it is in {} at {}; closed as failed",
+            lost.id, lost.file, lost.offset);
+    }
+    if recovered.doubted > 0 {
+        log::error!(notices = recovered.doubted;
+            "journal: {} open notices count as possibly run because of damage", recovered.doubted);
+    }
+    for file in &recovered.foreign {
+        log::warn!(file = file.as_str(); "journal: {file} is not of this folder; left alone, it takes room");
+    }
+    if recovered.carried_over > 0 {
+        log::info!(records = recovered.carried_over;
+            "journal: {} records carried over from the old ledger", recovered.carried_over);
+    }
+}
+
 impl Reactor {
-    /// Takes up what the ledger holds, then listens.
+    /// Takes up what the journal holds, then listens.
     pub fn new(setup: Setup) -> Result<Reactor, String> {
         let Setup { mut site, seed, state, listen, discovery, known_version, known, push, .. } = setup;
         let (clients_most, partners_most) = places(setup.sockets, site.settings.slots as usize);
         let poll = Poll::new().map_err(|e| format!("poll: {e}"))?;
-        let clock = Clock::new();
+        let mut clock = Clock::new();
+        let (mut journal, mut recovered) = (None, Recovered::default());
+        if let Some(state) = state {
+            let opened = open_journal(state, millis(clock.now()))?;
+            (journal, recovered) = (Some(opened.0), opened.1);
+        }
+        // A clock that was set back must not give notices more time than they had.
+        clock.not_before(Duration::from_millis(recovered.latest));
         let now = clock.now();
         let push_listen = push.as_ref().and_then(webpush::File::listen);
         let push = push.map(|file| Push::new(file, &mut site)).transpose()?;
@@ -171,20 +243,15 @@
         let mut list = known;
         list.extend(push.iter().flat_map(Push::listings));
         core.step(now, Input::Listed { whole: true, list });
-        let (mut ledger, mut recovered) = (None, Vec::new());
-        if let Some((dir, disk)) = state {
-            let opened = Ledger::open(&dir, disk).map_err(|e| format!("{}: {e}", dir.display()))?;
-            recovered = opened.1;
-            ledger = Some(opened.0);
-        }
-        let found = recovered.len();
-        let effects = core.step(now, Input::Recovered(recovered));
+        tell_recovered(&recovered);
+        let found = recovered.records.len();
+        let effects = core.step(now, Input::Recovered(std::mem::take(&mut recovered.records)));
         let mut reactor = Reactor {
             poll,
             clock,
             site,
             core,
-            ledger,
+            journal,
             push,
             clients: None,
             pushes: None,
@@ -196,6 +263,8 @@
             unread_most: setup.memory / 8,
             turned_away: 0,
             tell_away: now,
+            turned_back: 0,
+            tell_back: now,
             reread: setup.reread,
             reload: None,
             discovery,
@@ -205,6 +274,8 @@
             watch_asked: now,
             reports: Reports::default(),
             report_at: now,
+            upkeep_at: now,
+            tell_stuck: now,
             wakes: BTreeSet::new(),
             dirty: true,
             last_turn: Time(0),
@@ -215,9 +286,9 @@
             halted: Arc::default(),
         };
         reactor.carry_out(effects);
-        reactor.rewrite_ledger();
         let (held, reports) = reactor.core.owed();
-        log::info!("started: {found} records in the ledger, {held} notices held, {reports} reports due");
+        log::info!(records = found, held, reports;
+            "started: {found} records in the journal, {held} notices held, {reports} reports due");
         log::info!("places: {clients_most} for clients, {partners_most} for partners");
         if let Some(address) = discovery {
             log::info!("directory: at {address}");
@@ -283,7 +354,7 @@
             if self.turn(&mut events)? {
                 let (held, reports) = self.core.owed();
                 let breaches = self.core.breaches;
-                log::info!("stopped: {held} notices and {reports} reports left to the ledger; {breaches:?}");
+                log::info!("stopped: {held} notices and {reports} reports left to the journal; {breaches:?}");
                 return Ok(());
             }
         }
@@ -317,6 +388,9 @@
             let effects = self.core.step(now, Input::TurnOver);
             self.carry_out(effects);
         }
+        if now >= self.upkeep_at && self.wants_compaction(now) {
+            self.compact();
+        }
         self.send_reports();
         Ok(self.wind_down())
     }
@@ -330,6 +404,9 @@
         if !self.resume.is_empty() {
             consider(now);
         }
+        if self.wants_compaction(now) {
+            consider(self.upkeep_at);
+        }
         self.wakes.first().copied().into_iter().for_each(&mut consider);
         self.watch_at.into_iter().chain(self.accept_again).for_each(&mut consider);
         self.reload.iter().for_each(|&(at, _)| consider(at));
@@ -381,20 +458,19 @@
         for effect in effects {
             match effect {
                 Effect::Keep(records) => {
-                    let kept = match self.ledger.as_mut().map_or(Ok(()), |l| l.append(&records)) {
-                        Ok(()) => true,
+                    let now = millis(self.clock.now());
+                    let kept = match self.journal.as_mut().map_or(Ok(()), |j| j.append(now, &records)) {
+                        Ok(()) => Kept::All,
                         Err(e) => {
-                            log::error!("ledger: {} records not written: {e}", records.len());
-                            false
+                            log::error!(records = records.len(), kept:? = e.kept;
+                                "journal: of {} records kept: {:?}: {e}", records.len(), e.kept);
+                            e.kept
                         }
                     };
                     // What could not be kept has ended in the core: another turn must take that in.
-                    self.dirty |= !kept;
+                    self.dirty |= kept != Kept::All;
                     let effects = self.core.step(self.clock.now(), Input::Kept(kept));
                     self.carry_out(effects);
-                    if self.ledger.as_ref().is_some_and(Ledger::wants_rewrite) {
-                        self.rewrite_ledger();
-                    }
                 }
                 Effect::Answer { to: Origin::Client(link), answer, .. } => {
                     self.answer(link, clients::answer(answer));
@@ -415,11 +491,25 @@
         }
     }
 
-    fn rewrite_ledger(&mut self) {
-        if let Some(ledger) = &mut self.ledger
-            && let Err(e) = ledger.rewrite(&self.core.snapshot())
-        {
-            log::error!("ledger: not rewritten: {e}");
+    fn wants_compaction(&self, now: Time) -> bool {
+        self.journal.as_ref().is_some_and(|j| j.wants_compaction(millis(now)))
+    }
+
+    /// One bounded step of the journal's upkeep.
+    fn compact(&mut self) {
+        let now = self.clock.now();
+        let Some(journal) = &mut self.journal else { return };
+        self.upkeep_at = now + self.site.settings.tick;
+        let step = journal.compact(millis(now));
+        if step.stuck && now >= self.tell_stuck {
+            self.tell_stuck = now + TELL_STUCK;
+            let stats = journal.stats();
+            log::warn!(room = stats.room, bytes = stats.bytes, live = stats.live;
+                "journal: compaction is held up, {} bytes free, {} of {} live; tried again",
+                stats.room, stats.live, stats.bytes);
+        }
+        if step.stuck {
+            self.upkeep_at = now + STUCK_PAUSE;
         }
     }
 
--- a/crates/cranehill/src/reactor/door.rs
+++ b/crates/daemon/src/reactor/door.rs
@@ -206,19 +206,28 @@
                 }
                 clients::Request::Unknown(why) => Some(why),
                 clients::Request::Put { id: name, names, body } => {
-                    // What the ledger can't hold must not be taken on.
-                    let room = self.ledger.as_ref().is_none_or(|l| l.has_room(body.len() + 1024));
+                    // What the journal can't hold must not be taken on.
+                    let now = self.clock.now();
+                    let room = self.journal.as_mut().map_or(Ok(()), |j| j.admit(body.len()));
                     match clients::notice(&self.site, id, name, &names, body) {
                         // Taken on, it could only be given up: nobody knows where it should go.
                         Ok(notice) if !self.core.knows(notice.partner) => Some("destination not known"),
-                        Ok(notice) if room => {
+                        Ok(notice) if room.is_ok() => {
                             *busy = true;
                             self.step(Input::Handed(notice));
                             None
                         }
                         Ok(_) => {
-                            log::warn!("ledger: full; a notice is refused");
-                            let after = Some(self.site.settings.max_retry_after);
+                            let most = self.site.settings.max_retry_after;
+                            let after = room.err().map(|after| after.min(most));
+                            self.turned_back += 1;
+                            if now >= self.tell_back {
+                                let (refused, stats) =
+                                    (self.turned_back, self.journal.as_mut().map(|j| j.stats()));
+                                let room = stats.map_or(0, |s| s.room);
+                                log::warn!(refused, room; "journal: full, {room} bytes free; {refused} notices refused");
+                                (self.turned_back, self.tell_back) = (0, now + Duration::from_secs(1));
+                            }
                             self.say(id, &clients::answer(core::Answer::Refused { after }));
                             None
                         }
--- a/crates/cranehill/src/webpush.rs
+++ b/crates/daemon/src/webpush.rs
@@ -18,9 +18,9 @@
 use tansycroft::profile::Names;
 
 use crate::config::Site;
-use crate::core::{Answer, Attempt, Envelope, Listing, Notice, Origin};
 use crate::http::{self, Request, Response, header};
 use crate::partners::{Told, Verdict};
+use cranehill_core::{Answer, Attempt, Envelope, Listing, Notice, Origin};
 
 /// Push services are numbered from here on, out of the way of the platform's partners.
 const FIRST: u64 = 1 << 40;
--- /dev/null
+++ b/crates/journal/src/fact.rs
@@ -0,0 +1,220 @@
+//! Facts: what a frame says. The state is the join of all facts, whatever their order and number.
+
+use std::borrow::Cow;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::Id;
+
+/// Bodies shorter than this are not worth a try at compressing.
+const PACK_FROM: usize = 96;
+/// A body is never larger when unpacked: what says so is damaged.
+const BODY_MOST: usize = 128 * 1024;
+
+/// An id in its packed form, as it stands in a frame.
+pub type Packed<'a> = &'a serde_bytes::Bytes;
+
+/// One fact, borrowed from its frame. `born` is the log number under which the notice was taken: an id that comes
+/// again after it was forgotten is a new life of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Fact<'a> {
+    Taken {
+        #[serde(borrow)]
+        id: Packed<'a>,
+        /// 0 for the log number of this very frame.
+        born: u64,
+        class: u32,
+        station: u32,
+        partner: u64,
+        key: Option<Packed<'a>>,
+        /// Unix time in milliseconds, like all times here.
+        deadline: u64,
+        /// Milliseconds from when it was taken to the deadline.
+        lasts: u32,
+        /// Size before packing, if it is packed.
+        packed_from: Option<u32>,
+        body: Packed<'a>,
+    },
+    Sent {
+        #[serde(borrow)]
+        id: Packed<'a>,
+        born: u64,
+        attempt: u32,
+        endpoint: &'a str,
+        at: u64,
+    },
+    Back {
+        #[serde(borrow)]
+        id: Packed<'a>,
+        born: u64,
+        attempt: u32,
+        never_ran: bool,
+    },
+    /// `after` milliseconds the client may try again; `None` if it failed.
+    Closing {
+        #[serde(borrow)]
+        id: Packed<'a>,
+        born: u64,
+        after: Option<u64>,
+    },
+    Over {
+        #[serde(borrow)]
+        id: Packed<'a>,
+        born: u64,
+        until: u64,
+    },
+    /// A notice born before that number may have had so many more attempts; all of these have ended by `until`.
+    Doubt { before: u64, attempts: u32, until: u64 },
+}
+
+/// The least that a fact of an attempt takes on disk: bounds how many a damaged stretch may have held.
+pub const SENT_LEAST: usize = crate::frame::HEAD + 10;
+
+impl<'a> Fact<'a> {
+    /// The notice that it is about, and its life.
+    pub fn subject(&self) -> Option<(&'a [u8], u64)> {
+        match *self {
+            Fact::Taken { id, born, .. }
+            | Fact::Sent { id, born, .. }
+            | Fact::Back { id, born, .. }
+            | Fact::Closing { id, born, .. }
+            | Fact::Over { id, born, .. } => Some((id, born)),
+            Fact::Doubt { .. } => None,
+        }
+    }
+
+    /// The same with `born` filled in, for a frame with this log number.
+    pub fn resolved(self, lsn: u64) -> Fact<'a> {
+        match self {
+            Fact::Taken { id, born: 0, class, station, partner, key, deadline, lasts, packed_from, body } => {
+                Fact::Taken {
+                    id,
+                    born: lsn,
+                    class,
+                    station,
+                    partner,
+                    key,
+                    deadline,
+                    lasts,
+                    packed_from,
+                    body,
+                }
+            }
+            other => other,
+        }
+    }
+
+    /// Which of its notice's facts it is: the same tag twice is the same fact twice.
+    pub fn tag(&self) -> Tag {
+        match *self {
+            Fact::Taken { .. } => Tag::Taken,
+            Fact::Sent { attempt, .. } => Tag::Sent(attempt),
+            Fact::Back { attempt, .. } => Tag::Back(attempt),
+            Fact::Closing { .. } => Tag::Closing,
+            Fact::Over { .. } => Tag::Over,
+            Fact::Doubt { .. } => Tag::Doubt,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Tag {
+    Taken,
+    Sent(u32),
+    Back(u32),
+    Closing,
+    Over,
+    Doubt,
+}
+
+/// Appends a payload.
+pub fn write(lsn: u64, fact: &Fact<'_>, into: &mut Vec<u8>) {
+    // Neither a number nor bytes can fail to be written into a vector.
+    let written = postcard::to_io(&lsn, &mut *into).is_ok() && postcard::to_io(fact, &mut *into).is_ok();
+    debug_assert!(written);
+}
+
+/// Reads a payload; `None` if it is none, or has ids that no notice has.
+pub fn read(payload: &[u8]) -> Option<(u64, Fact<'_>)> {
+    let (lsn, rest) = postcard::take_from_bytes::<u64>(payload).ok()?;
+    let (fact, rest) = postcard::take_from_bytes::<Fact<'_>>(rest).ok()?;
+    let good = |id: Packed<'_>| Id::from_packed(id).is_some();
+    let sound = match fact {
+        Fact::Taken { id, key, .. } => good(id) && key.is_none_or(good),
+        other => other.subject().is_none_or(|(id, _)| Id::from_packed(id).is_some()),
+    };
+    (rest.is_empty() && lsn > 0 && sound).then_some((lsn, fact.resolved(lsn)))
+}
+
+/// The body packed, with its size before, if that is worth it.
+pub fn pack(body: &[u8]) -> (Option<u32>, Cow<'_, [u8]>) {
+    if body.len() >= PACK_FROM {
+        let packed = lz4_flex::block::compress(body);
+        // A sixteenth at least, or unpacking is work for nothing.
+        if packed.len() + body.len() / 16 < body.len() {
+            return (Some(body.len() as u32), Cow::Owned(packed));
+        }
+    }
+    (None, Cow::Borrowed(body))
+}
+
+/// The body as it came; `None` if it can't be unpacked.
+pub fn unpack(packed_from: Option<u32>, body: &[u8]) -> Option<Cow<'_, [u8]>> {
+    let Some(size) = packed_from else { return Some(Cow::Borrowed(body)) };
+    let size = usize::try_from(size).ok().filter(|&s| s <= BODY_MOST)?;
+    let unpacked = lz4_flex::block::decompress(body, size).ok()?;
+    (unpacked.len() == size).then_some(Cow::Owned(unpacked))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_bytes::Bytes;
+
+    #[test]
+    fn facts_are_read_as_written_and_never_from_other_bytes() {
+        let id = Id::new("9b1f03aa5c7e2d41");
+        let id = Bytes::new(id.packed());
+        let facts = [
+            Fact::Taken {
+                id,
+                born: 5,
+                class: 1,
+                station: 2,
+                partner: 300,
+                key: Some(id),
+                deadline: 1_764_590_000_000,
+                lasts: 20_000,
+                packed_from: None,
+                body: Bytes::new(b"\0body"),
+            },
+            Fact::Sent { id, born: 5, attempt: 3, endpoint: "s-5be2a07c", at: 1_764_590_000_000 },
+            Fact::Back { id, born: 5, attempt: 3, never_ran: true },
+            Fact::Closing { id, born: 5, after: Some(500) },
+            Fact::Over { id, born: 5, until: 9 },
+            Fact::Doubt { before: 77, attempts: 2, until: 8 },
+        ];
+        for fact in facts {
+            let mut bytes = Vec::new();
+            write(12, &fact, &mut bytes);
+            assert_eq!(read(&bytes), Some((12, fact)));
+            for cut in 0..bytes.len() {
+                assert_eq!(read(&bytes[..cut]), None, "{fact:?} cut at {cut}");
+            }
+            bytes.push(0);
+            assert_eq!(read(&bytes), None, "with a byte too many");
+        }
+    }
+
+    #[test]
+    fn bodies_are_packed_only_where_it_pays_and_a_false_size_is_refused() {
+        let text = b"<episode><title>El programa de la tarde</title></episode>".repeat(8);
+        let (from, packed) = pack(&text);
+        assert!(from == Some(text.len() as u32) && packed.len() < text.len() / 2);
+        assert_eq!(unpack(from, &packed).as_deref(), Some(&text[..]));
+        assert_eq!(unpack(Some(text.len() as u32 + 1), &packed), None);
+        assert_eq!(unpack(Some(u32::MAX), &packed), None, "no room is made for what is claimed");
+        let noise: Vec<u8> = (0..400u32).map(|i| (i.wrapping_mul(2_654_435_761) >> 13) as u8).collect();
+        assert_eq!(pack(&noise).0, None);
+    }
+}
--- /dev/null
+++ b/crates/journal/src/index.rs
@@ -0,0 +1,401 @@
+//! What is live, and where: the join of all facts, by notice. Pure: it reads and writes nothing.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use ahash::RandomState;
+use smallvec::SmallVec;
+
+use crate::fact::Tag;
+use crate::frame::HEAD;
+use crate::id::Id;
+use crate::key::Key;
+
+/// Facts that an open notice may still need room for: six attempts with their ends, its closing and its end.
+const FACTS_MOST: u64 = 14;
+/// Bytes of such a fact besides the id.
+const FACT_MOST: u64 = (HEAD + 56) as u64;
+
+/// A frame on disk: in which segment, and how long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    pub sequence: u32,
+    pub len: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Held; without a [`Tag::Taken`] among these its own record is gone.
+    Open(SmallVec<[(Tag, Place); 2]>),
+    Closing(Place),
+    Over {
+        until: u64,
+        place: Place,
+        /// Remembered only because older facts of it are still on disk.
+        expired: bool,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub struct Entry {
+    pub id: Id,
+    pub born: u64,
+    pub state: State,
+    /// Frames about this id on disk, live or dead, but for ends. While there are any, its end must stay.
+    copies: u32,
+}
+
+/// What a fact did to the state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Joined {
+    /// It is news.
+    New,
+    /// The first of a new life of its id; what was known of the older one no longer counts.
+    NewLife,
+    /// Known already, or of something that is past.
+    Dead,
+}
+
+/// The state by notice, with live bytes by segment.
+#[derive(Debug)]
+pub struct Index {
+    slots: HashMap<Id, u32, RandomState>,
+    entries: Vec<Option<Entry>>,
+    free: Vec<u32>,
+    live: BTreeMap<u32, u64>,
+    /// Ends by when they may be forgotten.
+    expiring: BTreeSet<(u64, u32)>,
+    open: u64,
+    closing: u64,
+    owed: u64,
+}
+
+impl Index {
+    /// Ids come from outside: their hashes depend on the folder's key.
+    pub fn new(key: &Key) -> Index {
+        let word = |n: usize| u64::from_le_bytes(std::array::from_fn(|i| key[n * 8 + i]));
+        Index {
+            slots: HashMap::with_hasher(RandomState::with_seeds(word(0), word(1), word(2), word(3))),
+            entries: Vec::new(),
+            free: Vec::new(),
+            live: BTreeMap::new(),
+            expiring: BTreeSet::new(),
+            open: 0,
+            closing: 0,
+            owed: 0,
+        }
+    }
+
+    pub fn slot(&self, id: &Id) -> Option<u32> {
+        self.slots.get(id).copied()
+    }
+
+    pub fn entry(&self, slot: u32) -> Option<&Entry> {
+        self.entries.get(slot as usize)?.as_ref()
+    }
+
+    pub fn get(&self, id: &Id) -> Option<&Entry> {
+        self.entry(self.slot(id)?)
+    }
+
+    /// Notices open, closing and remembered.
+    pub fn counts(&self) -> (u64, u64, u64) {
+        (self.open, self.closing, self.slots.len() as u64 - self.open - self.closing)
+    }
+
+    /// Room that must stay free, so that what is owed can be written to its end.
+    pub fn owed_room(&self) -> u64 {
+        self.owed
+    }
+
+    /// Bytes of live frames in a segment.
+    pub fn live(&self, sequence: u32) -> u64 {
+        self.live.get(&sequence).copied().unwrap_or(0)
+    }
+
+    /// Entries with their slots, in no order that means anything.
+    pub fn iter(&self) -> impl Iterator<Item = (u32, &Entry)> {
+        self.entries.iter().enumerate().filter_map(|(slot, e)| Some((slot as u32, e.as_ref()?)))
+    }
+
+    /// Takes in a fact that stands at `place`, and tells its notice's slot. `until` matters for ends only.
+    pub fn join(&mut self, id: &Id, born: u64, tag: Tag, until: u64, place: Place) -> (u32, Joined) {
+        let slot = match self.slots.get(id) {
+            Some(&slot) => slot,
+            None => {
+                let entry = Entry { id: id.clone(), born: 0, state: State::Open(SmallVec::new()), copies: 0 };
+                let slot = match self.free.pop() {
+                    Some(slot) => {
+                        self.entries[slot as usize] = Some(entry);
+                        slot
+                    }
+                    None => {
+                        self.entries.push(Some(entry));
+                        self.entries.len() as u32 - 1
+                    }
+                };
+                self.slots.insert(id.clone(), slot);
+                self.open += 1;
+                self.owed += owed_by(id);
+                slot
+            }
+        };
+        let Some(entry) = self.entries[slot as usize].as_mut() else { return (slot, Joined::Dead) };
+        if tag != Tag::Over {
+            entry.copies += 1;
+        }
+        if born < entry.born {
+            return (slot, Joined::Dead);
+        }
+        let new_life = born > entry.born && entry.born > 0;
+        if new_life {
+            self.leave(slot);
+            self.open += 1;
+            self.owed += owed_by(id);
+        }
+        let Some(entry) = self.entries[slot as usize].as_mut() else { return (slot, Joined::Dead) };
+        entry.born = born;
+        match (&mut entry.state, tag) {
+            (State::Over { .. }, _)
+            | (State::Closing(_), Tag::Taken | Tag::Sent(_) | Tag::Back(_) | Tag::Closing) => {
+                return (slot, Joined::Dead);
+            }
+            (State::Open(places), Tag::Taken | Tag::Sent(_) | Tag::Back(_)) => {
+                if places.iter().any(|(t, _)| *t == tag) {
+                    return (slot, Joined::Dead);
+                }
+                places.push((tag, place));
+            }
+            (_, Tag::Closing | Tag::Over) => {
+                self.leave(slot);
+                let state = match tag {
+                    Tag::Closing => {
+                        self.closing += 1;
+                        State::Closing(place)
+                    }
+                    _ => {
+                        self.expiring.insert((until, slot));
+                        State::Over { until, place, expired: false }
+                    }
+                };
+                if let Some(entry) = self.entries[slot as usize].as_mut() {
+                    entry.state = state;
+                }
+            }
+            (_, Tag::Doubt) => return (slot, Joined::Dead),
+        }
+        *self.live.entry(place.sequence).or_default() += u64::from(place.len);
+        (slot, if new_life { Joined::NewLife } else { Joined::New })
+    }
+
+    /// What the entry was is past: its frames are dead. Leaves it open, without facts and uncounted.
+    fn leave(&mut self, slot: u32) {
+        let Some(entry) = self.entries[slot as usize].as_mut() else { return };
+        match std::mem::replace(&mut entry.state, State::Open(SmallVec::new())) {
+            State::Open(places) => {
+                self.open -= 1;
+                self.owed -= owed_by(&entry.id);
+                for (_, place) in places {
+                    drop_live(&mut self.live, place);
+                }
+            }
+            State::Closing(place) => {
+                self.closing -= 1;
+                drop_live(&mut self.live, place);
+            }
+            State::Over { until, place, .. } => {
+                self.expiring.remove(&(until, slot));
+                drop_live(&mut self.live, place);
+            }
+        }
+    }
+
+    /// Whether the frame of this fact in this segment is the one that counts.
+    pub fn is_live(&self, slot: u32, born: u64, tag: Tag, sequence: u32) -> bool {
+        let Some(entry) = self.entry(slot).filter(|e| e.born == born) else { return false };
+        let there = |place: &Place| place.sequence == sequence;
+        match (&entry.state, tag) {
+            (State::Open(places), _) => places.iter().any(|(t, p)| *t == tag && there(p)),
+            (State::Closing(place), Tag::Closing) => there(place),
+            (State::Over { place, expired, .. }, Tag::Over) => {
+                there(place) && !(*expired && entry.copies == 0)
+            }
+            _ => false,
+        }
+    }
+
+    /// A live frame has been written again at `to`.
+    pub fn moved(&mut self, slot: u32, tag: Tag, from: u32, to: Place) {
+        let Some(entry) = self.entries.get_mut(slot as usize).and_then(Option::as_mut) else { return };
+        if tag != Tag::Over {
+            entry.copies += 1;
+        }
+        let place = match &mut entry.state {
+            State::Open(places) => {
+                places.iter_mut().find(|(t, p)| *t == tag && p.sequence == from).map(|(_, p)| p)
+            }
+            State::Closing(place) => Some(place),
+            State::Over { place, .. } => Some(place),
+        };
+        let Some(place) = place else { return };
+        drop_live(&mut self.live, *place);
+        *place = to;
+        *self.live.entry(to.sequence).or_default() += u64::from(to.len);
+    }
+
+    /// A segment's file has gone, and with it one frame of each of these.
+    pub fn removed(&mut self, sequence: u32, slots: &[u32]) {
+        debug_assert_eq!(self.live(sequence), 0, "live frames in a segment that was removed");
+        self.live.remove(&sequence);
+        for &slot in slots {
+            if let Some(entry) = self.entries.get_mut(slot as usize).and_then(Option::as_mut) {
+                entry.copies = entry.copies.saturating_sub(1);
+            }
+            self.forget(slot);
+        }
+    }
+
+    /// Forgets ends that are due, a bounded number at a time; those with facts on disk stay until these have gone.
+    pub fn expire(&mut self, now: u64, most: usize) {
+        for _ in 0..most {
+            let Some(&(until, slot)) = self.expiring.first().filter(|(until, _)| *until <= now) else {
+                return;
+            };
+            self.expiring.remove(&(until, slot));
+            if let Some(Some(Entry { state: State::Over { expired, .. }, .. })) =
+                self.entries.get_mut(slot as usize)
+            {
+                *expired = true;
+            }
+            self.forget(slot);
+        }
+    }
+
+    pub fn has_expired(&self, now: u64) -> bool {
+        self.expiring.first().is_some_and(|(until, _)| *until <= now)
+    }
+
+    fn forget(&mut self, slot: u32) {
+        let Some(entry) = self.entry(slot) else { return };
+        let State::Over { place, expired: true, .. } = entry.state else { return };
+        if entry.copies > 0 {
+            return;
+        }
+        drop_live(&mut self.live, place);
+        if let Some(entry) = self.entries[slot as usize].take() {
+            self.slots.remove(&entry.id);
+            self.free.push(slot);
+        }
+    }
+
+    /// Counts live bytes that are no notice's.
+    pub fn add_live(&mut self, place: Place) {
+        *self.live.entry(place.sequence).or_default() += u64::from(place.len);
+    }
+
+    pub fn drop_live(&mut self, place: Place) {
+        drop_live(&mut self.live, place);
+    }
+}
+
+fn drop_live(live: &mut BTreeMap<u32, u64>, place: Place) {
+    if let Some(bytes) = live.get_mut(&place.sequence) {
+        *bytes = bytes.saturating_sub(u64::from(place.len));
+    }
+}
+
+fn owed_by(id: &Id) -> u64 {
+    FACTS_MOST * (FACT_MOST + id.packed().len() as u64)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn place(sequence: u32) -> Place {
+        Place { sequence, len: 100 }
+    }
+
+    fn facts() -> [(Tag, u32); 5] {
+        [(Tag::Taken, 1), (Tag::Sent(0), 2), (Tag::Back(0), 3), (Tag::Closing, 4), (Tag::Over, 5)]
+    }
+
+    /// Compaction changes the order of facts and may leave one twice: neither must matter.
+    #[test]
+    fn any_order_of_facts_and_any_repeat_give_the_same_state() {
+        let id = Id::new("aa");
+        // All orders of five facts.
+        for n in 0..120usize {
+            let (mut left, mut order, mut rest) = (facts().to_vec(), Vec::new(), n);
+            for of in (1..=5).rev() {
+                order.push(left.remove(rest % of));
+                rest /= of;
+            }
+            for many in 1..=5 {
+                let mut index = Index::new(&[1; 32]);
+                let mut expected = 0;
+                for &(tag, sequence) in order[..many].iter().chain(&order[..many]) {
+                    index.join(&id, 7, tag, 50, place(sequence));
+                    expected = expected.max(match tag {
+                        Tag::Over => 2,
+                        Tag::Closing => 1,
+                        _ => 0,
+                    });
+                }
+                let state = &index.get(&id).expect("an entry").state;
+                let found = match state {
+                    State::Open(places) => {
+                        assert_eq!(places.len(), many);
+                        0
+                    }
+                    State::Closing(place) => {
+                        assert_eq!(place.sequence, 4);
+                        1
+                    }
+                    State::Over { place, .. } => {
+                        assert_eq!(place.sequence, 5);
+                        2
+                    }
+                };
+                assert_eq!(found, expected, "{order:?} of {many}");
+                let live: u64 = (1..=5).map(|s| index.live(s)).sum();
+                assert_eq!(live, if found == 0 { many as u64 * 100 } else { 100 });
+            }
+        }
+    }
+
+    /// An end that goes before the facts that it ends would bring the notice back to life.
+    #[test]
+    fn an_end_outlasts_all_facts_of_its_notice_and_its_time() {
+        let id = Id::new("aa");
+        let mut index = Index::new(&[1; 32]);
+        let slot = index.join(&id, 7, Tag::Taken, 0, place(1)).0;
+        index.join(&id, 7, Tag::Sent(0), 0, place(2));
+        index.join(&id, 7, Tag::Over, 50, place(3));
+        index.removed(1, &[slot]);
+        index.expire(60, 10);
+        assert!(index.is_live(slot, 7, Tag::Over, 3), "the attempt's record is still there");
+        index.moved(slot, Tag::Over, 3, place(4));
+        index.removed(2, &[slot]);
+        assert!(index.get(&id).is_none() && index.live(4) == 0);
+        // The other way round: the facts go first, then the time is out.
+        let slot = index.join(&id, 9, Tag::Taken, 0, place(5)).0;
+        index.join(&id, 9, Tag::Over, 80, place(6));
+        index.removed(5, &[slot]);
+        index.expire(79, 10);
+        assert!(index.is_live(slot, 9, Tag::Over, 6));
+        index.expire(80, 10);
+        assert!(index.get(&id).is_none() && index.counts() == (0, 0, 0) && index.owed_room() == 0);
+    }
+
+    #[test]
+    fn an_id_that_comes_again_is_another_notice_and_the_older_one_stays_dead() {
+        let id = Id::new("aa");
+        let mut index = Index::new(&[1; 32]);
+        index.join(&id, 7, Tag::Taken, 0, place(1));
+        let slot = index.join(&id, 7, Tag::Over, 50, place(1)).0;
+        assert_eq!(index.join(&id, 20, Tag::Taken, 0, place(2)), (slot, Joined::NewLife));
+        assert_eq!(index.join(&id, 7, Tag::Over, 50, place(3)).1, Joined::Dead);
+        assert_eq!(index.join(&id, 7, Tag::Sent(0), 0, place(3)).1, Joined::Dead);
+        assert_eq!((index.counts(), index.live(1), index.live(2)), ((1, 0, 0), 0, 100));
+    }
+}
--- /dev/null
+++ b/crates/journal/src/journal.rs
@@ -0,0 +1,503 @@
+//! [`Journal`]: what is owed, on disk. Appends, and room; see `open` for its start and `compact` for its upkeep.
+
+use std::io;
+use std::time::Duration;
+
+use cranehill_core::{Closing, Kept, Record};
+use serde_bytes::Bytes;
+
+use crate::fact::{self, Fact, Tag, pack};
+use crate::frame;
+use crate::id::Id;
+use crate::index::{Index, Place, State};
+use crate::key::{Key, Mac, Salt, cut};
+use crate::manifest::{self, Listed, Manifest, Seal};
+use crate::recover::{Doubt, tag};
+use crate::segment::{self, Header};
+use crate::storage::{BLOCK, Storage};
+
+const NANOS: u64 = 1_000_000;
+/// Bounds of a segment's size. Small ones make compaction's steps small, large ones the manifest.
+const SEGMENT_LEAST: u64 = 16 * 1024;
+const SEGMENT_MOST: u64 = 1024 * 1024;
+/// The largest frame that compaction may have to carry over.
+const FRAME_MOST: u64 = 72 * 1024;
+/// What a manifest takes besides its segments, and for each.
+const MANIFEST_LEAST: u64 = 2 * BLOCK;
+const MANIFEST_EACH: u64 = 64;
+/// When to come back if there are dead bytes to be freed, and if there are none.
+const BACK_SOON: Duration = Duration::from_millis(250);
+const BACK_LATER: Duration = Duration::from_secs(2);
+
+/// How a journal is kept.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Bytes that the folder may hold.
+    pub disk: u64,
+    /// An operator's key; else the folder has one of its own.
+    pub key: Option<Key>,
+    /// Fresh random bytes: the folder's key, if it has none yet.
+    pub fresh_key: Key,
+}
+
+/// What was not written, and why.
+#[derive(Debug, thiserror::Error)]
+#[error("{source}")]
+pub struct Unkept {
+    pub kept: Kept,
+    pub source: io::Error,
+}
+
+/// Figures of a running journal.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Stats {
+    pub segments: usize,
+    /// Of all segments, and of what is live in them.
+    pub bytes: u64,
+    pub live: u64,
+    pub open: u64,
+    pub closing: u64,
+    pub remembered: u64,
+    /// Bytes free in the folder's share.
+    pub room: u64,
+    /// Since the start: bytes appended, bytes that compaction carried over, segments removed, turns refused.
+    pub appended: u64,
+    pub carried: u64,
+    pub removed: u64,
+    pub refused: u64,
+}
+
+/// A segment that is no longer written to.
+#[derive(Debug)]
+pub(crate) struct Sealed {
+    pub name: String,
+    pub salt: Salt,
+    pub listed: Listed,
+    pub len: u64,
+    /// It holds a stretch that can't be read: the sooner it goes the better.
+    pub damaged: bool,
+}
+
+/// The segment that is written to.
+#[derive(Debug)]
+pub(crate) struct Head {
+    pub sequence: u32,
+    pub name: String,
+    pub salt: Salt,
+    pub base: u64,
+    pub before: Mac,
+    pub len: u64,
+    pub frames: u32,
+    pub taken: u32,
+    pub hasher: blake3::Hasher,
+    /// A failed write may have left bytes behind `len`.
+    pub torn: bool,
+}
+
+impl Head {
+    fn listed(&self) -> Listed {
+        Listed { sequence: self.sequence, base: self.base, before: self.before, seal: None }
+    }
+
+    fn seal(&self) -> Seal {
+        Seal { len: self.len as u32, frames: self.frames, taken: self.taken, chain: cut(&self.hasher) }
+    }
+}
+
+/// The log of what the sender owes, in a folder of its own.
+#[derive(Debug)]
+pub struct Journal<S> {
+    pub(crate) storage: S,
+    pub(crate) key: Key,
+    pub(crate) disk: u64,
+    pub(crate) segment_size: u64,
+    pub(crate) epoch: u64,
+    pub(crate) next_sequence: u32,
+    pub(crate) next_lsn: u64,
+    pub(crate) sealed: std::collections::BTreeMap<u32, Sealed>,
+    pub(crate) head: Option<Head>,
+    /// Listed and missing: kept in the manifest until the doubt that they give rise to is written down.
+    pub(crate) missing: Vec<Listed>,
+    pub(crate) index: Index,
+    pub(crate) doubts: Vec<Doubt>,
+    /// To be written with the next turn: what recovery concluded.
+    pub(crate) pending: Vec<Record>,
+    pub(crate) moving: Option<crate::compact::Moving>,
+    pub(crate) doomed: Vec<crate::compact::Doomed>,
+    /// Bytes promised to notices that were let in since the last turn.
+    promised: u64,
+    pub(crate) stats: Stats,
+    /// Kept to be filled anew each turn.
+    buffer: Vec<u8>,
+}
+
+/// A fact that is in the buffer and goes into the index once it is on disk.
+struct Written {
+    id: Id,
+    born: u64,
+    tag: Tag,
+    until: u64,
+    len: u32,
+}
+
+impl<S: Storage> Journal<S> {
+    pub(crate) fn begin(storage: S, options: &Options, key: Key, index: Index) -> Journal<S> {
+        Journal {
+            storage,
+            key,
+            disk: options.disk,
+            segment_size: (options.disk / 32).clamp(SEGMENT_LEAST, SEGMENT_MOST),
+            epoch: 0,
+            next_sequence: 1,
+            next_lsn: 1,
+            sealed: Default::default(),
+            head: None,
+            missing: Vec::new(),
+            index,
+            doubts: Vec::new(),
+            pending: Vec::new(),
+            moving: None,
+            doomed: Vec::new(),
+            promised: 0,
+            stats: Stats::default(),
+            buffer: Vec::new(),
+        }
+    }
+
+    /// Appends a turn's records at `now` (ms since 1970). On an error, either what has ended is kept or nothing is,
+    /// as the error says.
+    pub fn append(&mut self, now: u64, records: &[Record]) -> Result<(), Unkept> {
+        self.promised = 0;
+        let mut all = std::mem::take(&mut self.pending);
+        let owed = all.len();
+        let whole = if owed == 0 {
+            self.write(now, records, |_| true)
+        } else {
+            all.extend_from_slice(records);
+            self.write(now, &all, |_| true)
+        };
+        let Err(source) = whole else { return Ok(()) };
+        self.stats.refused += 1;
+        let ends = records.iter().any(Record::is_end);
+        if ends && self.write(now, records, Record::is_end).is_ok() {
+            all.truncate(owed);
+            self.pending = all;
+            return Err(Unkept { kept: Kept::Ends, source });
+        }
+        all.truncate(owed);
+        self.pending = all;
+        Err(Unkept { kept: if ends { Kept::Nothing } else { Kept::Ends }, source })
+    }
+
+    /// Whether there is room for a further notice of so many bytes, or when to come back. What is let in counts
+    /// until the next turn is appended.
+    pub fn admit(&mut self, bytes: usize) -> Result<(), Duration> {
+        let more = bytes as u64 + 2048;
+        let reserve = self.carry_reserve() * 2 + self.index.owed_room();
+        if self.storage.room() >= self.promised + more + reserve {
+            self.promised += more;
+            return Ok(());
+        }
+        let dead: u64 = self.sealed.iter().map(|(&s, i)| i.len.saturating_sub(self.index.live(s))).sum();
+        Err(if dead > self.segment_size { BACK_SOON } else { BACK_LATER })
+    }
+
+    pub fn stats(&mut self) -> Stats {
+        let head = self.head.iter().map(|h| (h.sequence, h.len));
+        let all: Vec<(u32, u64)> = self.sealed.iter().map(|(&s, i)| (s, i.len)).chain(head).collect();
+        let (open, closing, remembered) = self.index.counts();
+        Stats {
+            segments: all.len(),
+            bytes: all.iter().map(|(_, len)| len).sum(),
+            live: all.iter().map(|&(s, _)| self.index.live(s)).sum(),
+            open,
+            closing,
+            remembered,
+            room: self.storage.room(),
+            ..self.stats
+        }
+    }
+
+    pub fn storage(&self) -> &S {
+        &self.storage
+    }
+
+    /// To play failures in.
+    pub fn storage_mut(&mut self) -> &mut S {
+        &mut self.storage
+    }
+
+    /// What compaction needs to make any progress.
+    pub(crate) fn carry_reserve(&self) -> u64 {
+        let segments = self.sealed.len() as u64 + 2;
+        let manifest = MANIFEST_LEAST + MANIFEST_EACH * segments;
+        (self.segment_size.max(FRAME_MOST) + manifest).min(self.disk / 4)
+    }
+
+    /// Appends those records that `which` wants, all or none.
+    fn write(&mut self, now: u64, records: &[Record], which: impl Fn(&Record) -> bool) -> io::Result<()> {
+        let mut buffer = std::mem::take(&mut self.buffer);
+        buffer.clear();
+        let result = self.write_into(now, records, which, &mut buffer);
+        self.buffer = buffer;
+        result
+    }
+
+    fn write_into(
+        &mut self,
+        now: u64,
+        records: &[Record],
+        which: impl Fn(&Record) -> bool,
+        buffer: &mut Vec<u8>,
+    ) -> io::Result<()> {
+        // An upper bound will do to decide whether a new segment is due; frames are salted by their segment.
+        let fresh = |r: &Record| matches!(r, Record::Taken { .. }) && which(r);
+        let expected: u64 = records.iter().filter(|r| which(r)).map(|r| 96 + size_of_record(r)).sum();
+        if expected == 0 && self.doubts.iter().all(|d| d.place.is_some()) {
+            return Ok(());
+        }
+        let reserve = if records.iter().any(fresh) { self.carry_reserve() } else { 0 };
+        if self.storage.room() < expected + reserve {
+            return Err(io::Error::new(
+                io::ErrorKind::StorageFull,
+                "the journal's share of the folder is used",
+            ));
+        }
+        let salt = self.ready_head(now, expected)?;
+        let first = self.next_lsn;
+        let mut lsn = first;
+        let mut written: Vec<Written> = Vec::with_capacity(records.len());
+        let doubts = std::mem::take(&mut self.doubts);
+        let mut doubts_written = Vec::new();
+        for (n, doubt) in doubts.iter().enumerate().filter(|(_, d)| d.place.is_none()) {
+            let at = buffer.len();
+            let Doubt { before, attempts, until, .. } = *doubt;
+            frame::write(salt, buffer, |b| fact::write(lsn, &Fact::Doubt { before, attempts, until }, b));
+            lsn += 1;
+            doubts_written.push((n, (buffer.len() - at) as u32));
+        }
+        self.doubts = doubts;
+        let mut taken = 0;
+        for record in records.iter().filter(|r| which(r)) {
+            let id = Id::new(record.id());
+            let Some(born) = self.born(&id, record, lsn, &written) else { continue };
+            let at = buffer.len();
+            frame::write(salt, buffer, |b| write_record(lsn, born, &id, record, b));
+            taken += u32::from(matches!(record, Record::Taken { .. }));
+            let until = if let Record::Over { until, .. } = record { until / NANOS } else { 0 };
+            written.push(Written { id, born, tag: tag(record), until, len: (buffer.len() - at) as u32 });
+            lsn += 1;
+        }
+        if buffer.is_empty() {
+            return Ok(());
+        }
+        let sequence = self.put(buffer, (lsn - first) as u32, taken)?;
+        self.next_lsn = lsn;
+        self.stats.appended += buffer.len() as u64;
+        for (n, len) in doubts_written {
+            let place = Place { sequence, len };
+            if let Some(doubt) = self.doubts.get_mut(n) {
+                doubt.place = Some(place);
+                self.index.add_live(place);
+            }
+        }
+        for w in written {
+            self.index.join(&w.id, w.born, w.tag, w.until, Place { sequence, len: w.len });
+        }
+        if !self.missing.is_empty() && self.doubts.iter().all(|d| d.place.is_some()) {
+            self.missing.clear();
+        }
+        Ok(())
+    }
+
+    /// Under which number the notice of a record was taken; `None` if the record says nothing that counts.
+    fn born(&self, id: &Id, record: &Record, lsn: u64, written: &[Written]) -> Option<u64> {
+        // What this very turn says comes first.
+        let here = written.iter().rev().find(|w| w.id == *id);
+        let known = self.index.get(id);
+        let (born, over, closing) = match (here, known) {
+            (Some(w), _) => (w.born, w.tag == Tag::Over, w.tag == Tag::Closing),
+            (None, Some(e)) => {
+                (e.born, matches!(e.state, State::Over { .. }), matches!(e.state, State::Closing(_)))
+            }
+            (None, None) => (0, true, true),
+        };
+        match record {
+            // An id that ended and was forgotten by the sender is another notice.
+            Record::Taken { .. } => (over || closing).then_some(lsn),
+            Record::Sent { .. } | Record::Back { .. } => (!over && !closing).then_some(born),
+            Record::Closing { .. } if born == 0 => Some(lsn),
+            Record::Closing { .. } => (!over && !closing).then_some(born),
+            Record::Over { .. } if born == 0 => Some(lsn),
+            Record::Over { .. } => (!over).then_some(born),
+        }
+    }
+
+    /// Appends whole frames to the head; tells which segment that is. After an error none of them is there.
+    pub(crate) fn put(&mut self, bytes: &[u8], frames: u32, taken: u32) -> io::Result<u32> {
+        let Some(head) = &mut self.head else { return Err(io::ErrorKind::NotFound.into()) };
+        if let Err(e) = self.storage.append(&head.name, bytes) {
+            head.torn = self.storage.truncate(&head.name, head.len).is_err();
+            return Err(e);
+        }
+        head.len += bytes.len() as u64;
+        head.frames += frames;
+        head.taken += taken;
+        head.hasher.update(bytes);
+        Ok(head.sequence)
+    }
+
+    /// A head with room for so many bytes, and nothing torn at its end.
+    pub(crate) fn ready_head(&mut self, now: u64, bytes: u64) -> io::Result<Salt> {
+        if let Some(head) = self.head.as_mut().filter(|h| h.torn) {
+            head.torn = self.storage.truncate(&head.name, head.len).is_err();
+        }
+        let fits = |h: &Head| !h.torn && (h.frames == 0 || h.len + bytes <= self.segment_size);
+        if !self.head.as_ref().is_some_and(fits) {
+            self.roll(now)?;
+        }
+        self.head.as_ref().map(|h| h.salt).ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+
+    /// Seals the head and begins another. After an error the old one goes on.
+    pub(crate) fn roll(&mut self, now: u64) -> io::Result<()> {
+        self.roll_with(now, |_, _| Vec::new())
+    }
+
+    /// As [`Journal::roll`], with frames in the new segment before it is listed; these are told their salt and the
+    /// first log number.
+    pub(crate) fn roll_with(
+        &mut self,
+        now: u64,
+        first: impl FnOnce(Salt, &mut u64) -> Vec<u8>,
+    ) -> io::Result<()> {
+        let sequence = self.next_sequence;
+        // Not used again even if this fails: the file may be there.
+        self.next_sequence += 1;
+        let last = self.sealed.values().next_back();
+        let before = match &self.head {
+            Some(head) => head.seal().chain,
+            None => last.and_then(|s| s.listed.seal).map_or(Mac::default(), |s| s.chain),
+        };
+        let base = self.next_lsn - 1;
+        let header = Header { sequence, epoch: self.epoch + 1, base, created: now, before };
+        let (name, salt) = (segment::name(sequence), Salt::new(&self.key, sequence));
+        let mut bytes = header.write(&self.key);
+        let mut lsn = self.next_lsn;
+        let frames = first(salt, &mut lsn);
+        bytes.extend_from_slice(&frames);
+        let result = self.storage.append(&name, &bytes).and_then(|()| {
+            let old = self.head.as_ref().map(|h| Listed { seal: Some(h.seal()), ..h.listed() });
+            self.write_manifest(old, Some(Listed { sequence, base, before, seal: None }), None)
+        });
+        if let Err(e) = result {
+            // If it can't be removed either, it is an unlisted file without frames: the next start removes it.
+            let _ = self.storage.remove(&name);
+            return Err(e);
+        }
+        let mut hasher = blake3::Hasher::new_keyed(&self.key);
+        hasher.update(&before);
+        hasher.update(&frames);
+        let head = Head {
+            sequence,
+            name,
+            salt,
+            base,
+            before,
+            len: bytes.len() as u64,
+            frames: (lsn - self.next_lsn) as u32,
+            taken: 0,
+            hasher,
+            torn: false,
+        };
+        self.next_lsn = lsn;
+        if let Some(old) = self.head.replace(head) {
+            let listed = Listed { seal: Some(old.seal()), ..old.listed() };
+            let sealed = Sealed { name: old.name, salt: old.salt, listed, len: old.len, damaged: false };
+            self.sealed.insert(listed.sequence, sealed);
+        }
+        Ok(())
+    }
+
+    /// The one step by which the set of segments changes: the head sealed as `old`, `new` listed, `gone` no more.
+    pub(crate) fn write_manifest(
+        &mut self,
+        old: Option<Listed>,
+        new: Option<Listed>,
+        gone: Option<u32>,
+    ) -> io::Result<()> {
+        let head = match (old, new) {
+            (None, None) => self.head.as_ref().map(Head::listed),
+            (old, new) => old.into_iter().chain(new).next_back().filter(|_| new.is_some()),
+        };
+        let mut segments: Vec<Listed> = self.missing.clone();
+        segments.extend(self.sealed.values().map(|s| s.listed).filter(|l| Some(l.sequence) != gone));
+        segments.extend(old);
+        segments.extend(head);
+        segments.sort_by_key(|l| l.sequence);
+        let manifest = Manifest {
+            epoch: self.epoch + 1,
+            next_sequence: self.next_sequence,
+            next_lsn: self.next_lsn,
+            segments,
+        };
+        let bytes = manifest.write(&self.key);
+        let result = self
+            .storage
+            .append(manifest::NEXT, &bytes)
+            .and_then(|()| self.storage.rename(manifest::NEXT, manifest::NAME));
+        match result {
+            Ok(()) => self.epoch += 1,
+            // What is left would be appended to.
+            Err(_) => self.storage.remove(manifest::NEXT)?,
+        }
+        result
+    }
+}
+
+fn size_of_record(record: &Record) -> u64 {
+    let more = match record {
+        Record::Taken { key, body, .. } => key.as_ref().map_or(0, String::len) + body.len(),
+        Record::Sent { endpoint, .. } => endpoint.len(),
+        _ => 0,
+    };
+    (record.id().len() + more) as u64
+}
+
+fn write_record(lsn: u64, born: u64, id: &Id, record: &Record, into: &mut Vec<u8>) {
+    let id = Bytes::new(id.packed());
+    let fact = match record {
+        Record::Taken { class, station, partner, key, deadline, at, body, .. } => {
+            let key = key.as_deref().map(Id::new);
+            let (packed_from, body) = pack(body);
+            let fact = Fact::Taken {
+                id,
+                born: if born == lsn { 0 } else { born },
+                class: *class as u32,
+                station: *station as u32,
+                partner: *partner,
+                key: key.as_ref().map(|k| Bytes::new(k.packed())),
+                deadline: deadline / NANOS,
+                lasts: u32::try_from(deadline.saturating_sub(*at) / NANOS).unwrap_or(u32::MAX),
+                packed_from,
+                body: Bytes::new(&body),
+            };
+            return fact::write(lsn, &fact, into);
+        }
+        Record::Sent { attempt, endpoint, at, .. } => {
+            Fact::Sent { id, born, attempt: *attempt, endpoint, at: at / NANOS }
+        }
+        Record::Back { attempt, never_ran, .. } => {
+            Fact::Back { id, born, attempt: *attempt, never_ran: *never_ran }
+        }
+        Record::Closing { closing, .. } => {
+            let after = match closing {
+                Closing::Returned { after_ms } => Some(*after_ms),
+                Closing::Failed => None,
+            };
+            Fact::Closing { id, born, after }
+        }
+        Record::Over { until, .. } => Fact::Over { id, born, until: until / NANOS },
+    };
+    fact::write(lsn, &fact, into);
+}
--- /dev/null
+++ b/crates/journal/src/lib.rs
@@ -0,0 +1,39 @@
+//! The log of what the sender owes: a notice is in it before `+OK`, an attempt before its last byte goes out.
+//!
+//! Start at [`Journal`]: [`Journal::open`] reads a folder and tells what an earlier life left ([`Recovered`]),
+//! [`Journal::append`] keeps a turn's records, [`Journal::compact`] takes one bounded step of upkeep, and
+//! [`Journal::admit`] says whether there is room for a further notice. Files are reached through [`Storage`] only:
+//! [`Folder`] is a real one, [`Memory`] fails as it is told to. The package reads no clock and starts no thread.
+//!
+//! The state is the join of all facts on disk, whatever their order and however often each is there; so compaction
+//! may move them, and a kill at any byte leaves none out. `docs/journal-design.md` says why it is so, and
+//! `docs/journal-format.md` draws the files to the byte.
+#![forbid(unsafe_code)]
+
+mod compact;
+mod error;
+mod fact;
+mod frame;
+mod id;
+mod index;
+mod journal;
+mod key;
+mod legacy;
+mod manifest;
+mod memory;
+mod open;
+mod recover;
+mod scan;
+mod segment;
+mod storage;
+
+pub use compact::Step;
+pub use error::OpenError;
+pub use fact::{Fact, unpack};
+pub use id::Id;
+pub use journal::{Journal, Options, Stats, Unkept};
+pub use key::Key;
+pub use memory::{Change, Crash, Memory};
+pub use recover::{Doubt, Lost, Reading, Recovered, read};
+pub use scan::{At, Scan, Segment, Stretch, Why, scan};
+pub use storage::{BLOCK, Folder, Storage, taken_by};
