--- a/crates/journal/src/scan.rs
+++ b/crates/journal/src/scan.rs
@@ -425,9 +425,9 @@
     }
 
     /// Without a manifest nobody knows what is missing, but at a first start that was killed before its first
-    /// manifest: that has nothing but the header of the first segment.
+    /// manifest: that has nothing but headers of segments begun before any frame was written.
     fn unlisted(&mut self) {
-        let first = |s: &Segment| s.frames == 0 && s.header.is_some_and(|h| h.sequence == 1 && h.epoch == 1);
+        let first = |s: &Segment| s.frames == 0 && s.header.is_some_and(|h| h.base == 0);
         if !self.manifest_bad && self.segments.values().all(first) {
             return;
         }
