--- a/crates/core/src/notice.rs
+++ b/crates/core/src/notice.rs
@@ -46,7 +46,7 @@
     /// A client whose answer is the notice's end; nothing is promised before, so nothing outlasts us.
     Waiting(usize),
     /// An earlier life of this sender.
-    Ledger,
+    EarlierLife,
 }
 
 /// The answer to who handed a notice in.
--- a/crates/core/src/recovery.rs
+++ b/crates/core/src/recovery.rs
@@ -17,7 +17,7 @@
                 Record::Taken { id, class, station, partner, key, deadline, body, .. } => {
                     let deadline = Time(deadline);
                     let left = deadline - self.now;
-                    let (spent, envelope, from) = (0, None, Origin::Ledger);
+                    let (spent, envelope, from) = (0, None, Origin::EarlierLife);
                     let notice = Notice {
                         id: id.clone(),
                         class,
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -188,7 +188,7 @@
     pub(crate) fn hold(&mut self, notice: Notice, deadline: Time, maybe_ran: Option<FirstRun>) {
         let past = Past {
             attempts: notice.spent,
-            earlier_life: notice.from == Origin::Ledger,
+            earlier_life: notice.from == Origin::EarlierLife,
             maybe_ran: maybe_ran.as_ref().map(|(at, endpoint, _)| (self.now - *at, endpoint.clone())),
         };
         self.events.push(Event::Accept(Taken {
@@ -200,7 +200,7 @@
             dest: DestId(notice.partner),
             past,
         }));
-        let (attempts, taken_on) = (notice.spent, notice.from == Origin::Ledger);
+        let (attempts, taken_on) = (notice.spent, notice.from == Origin::EarlierLife);
         let id = notice.id.clone();
         let held = Held { notice, deadline, attempts, out: None, maybe_ran, taken_on, gone: false };
         self.held.insert(id, held);
--- a/crates/daemon/src/reactor.rs
+++ b/crates/daemon/src/reactor.rs
@@ -478,7 +478,7 @@
                 Effect::Answer { to: Origin::Waiting(link), id, answer } => {
                     self.answer(link, webpush::answer(answer, &id));
                 }
-                Effect::Answer { to: Origin::Ledger, .. } => {}
+                Effect::Answer { to: Origin::EarlierLife, .. } => {}
                 Effect::Call { endpoint, address, attempts } => self.call(endpoint, address, attempts),
                 Effect::Report { id, closing } => self.reports.add(id, closing),
                 Effect::HoldBack { endpoints } => self.hold_back(&endpoints),
