Keep a doubt until notices whose time was out before the start are concluded

Behind it a real case: after a long time down the doubt's end lay in the past, compaction dropped it at once, and a kill before the notices were concluded would have had them told as never run.

--- a/crates/journal/src/open.rs
+++ b/crates/journal/src/open.rs
@@ -66,12 +66,15 @@
         journal.next_sequence = scan.next_sequence;
         journal.next_lsn = scan.next_lsn;
         // A doubt concerns notices that are open now: where there are none, nothing is in doubt.
-        let deadline = |r: &Record| if let Record::Taken { deadline, .. } = r { deadline / NANOS } else { 0 };
-        let until = recovered.records.iter().map(deadline).max().unwrap_or(0);
-        if until == 0 {
+        let deadline =
+            |r: &Record| if let Record::Taken { deadline, .. } = r { Some(deadline / NANOS) } else { None };
+        let latest = recovered.records.iter().filter_map(deadline).max();
+        if latest.is_none() {
             doubts.retain(|d| d.place.is_some());
             journal.missing.clear();
         }
+        // Those whose time is out already are still to be concluded by this life.
+        let until = latest.unwrap_or(0).max(now);
         doubts.iter_mut().filter(|d| d.place.is_none()).for_each(|d| d.until = until);
         journal.doubts = doubts;
         for lost in &recovered.lost {
--- a/crates/journal/tests/hard_cases.rs
+++ b/crates/journal/tests/hard_cases.rs
@@ -118,6 +118,37 @@
     assert_eq!((last.damage.len(), &last.records), (0, &found.records));
 }
 
+/// A sender that was down for long finds notices whose time is out, concludes them, and may be killed before it has: the
+/// doubt must last that long, or one that may have run is told as never run.
+#[test]
+fn a_doubt_outlasts_notices_whose_time_was_out_before_the_start() {
+    let mut files = filled(30).storage().after_death();
+    let name = segments(&files)[1].clone();
+    files.files.get_mut(&name).expect("a segment")[200] ^= 1;
+    let later = START + 3_600_000;
+    // So small that what is live is more than a third of it, and segments with little live in them go.
+    files.disk = 64 * 1024;
+    let (mut journal, found) = open(files, later);
+    assert!(found.doubted > 0);
+    let first = journal.head().expect("a head").to_owned();
+    // All but one end, and others come: the segment that the doubt is in is the emptiest then.
+    let until = (later + 10) * MS;
+    let ends: Vec<Record> = (1..30).map(|i| Record::Over { id: format!("m{i:03}"), until }).collect();
+    journal.append(later + 20, &ends).expect("room");
+    for i in 0..80 {
+        let mut record = taken(&format!("later{i}"), 0);
+        if let Record::Taken { body, .. } = &mut record {
+            *body = noise(i, 300);
+        }
+        journal.append(later + 20, &[record]).expect("room");
+        compact(&mut journal, 3, later + 50);
+    }
+    let files = &journal.storage().files;
+    assert!(!files.contains_key(&name) && !files.contains_key(&first), "{name} {first} {:?}", files.keys());
+    let (_, again) = open(journal.storage().after_death(), later + 60);
+    assert_eq!((open_ids(&again.records)[0], again.doubted), ("m000", 1));
+}
+
 #[test]
 fn damage_in_header_and_manifest_is_got_over() {
     let files = filled(60).storage().after_death();
