--- a/crates/journal/tests/common/mod.rs
+++ b/crates/journal/tests/common/mod.rs
@@ -1,7 +1,10 @@
 //! A plain model of what is owed, and seeded days of records to play against it.
 #![allow(dead_code)]
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::io;
+use std::rc::Rc;
 use std::sync::Arc;
 
 use cranehill_core::{Closing, Record};
@@ -32,6 +35,40 @@
     }
 }
 
+/// A folder that outlives the journal that is opened on it, also if that fails.
+#[derive(Clone)]
+pub struct Shared(pub Rc<RefCell<Memory>>);
+
+impl Shared {
+    pub fn new(files: Memory) -> Shared {
+        Shared(Rc::new(RefCell::new(files)))
+    }
+}
+
+impl Storage for Shared {
+    fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.0.borrow_mut().append(name, bytes)
+    }
+    fn read(&mut self, name: &str, offset: u64, len: usize) -> io::Result<Vec<u8>> {
+        self.0.borrow_mut().read(name, offset, len)
+    }
+    fn truncate(&mut self, name: &str, size: u64) -> io::Result<()> {
+        self.0.borrow_mut().truncate(name, size)
+    }
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.0.borrow_mut().rename(from, to)
+    }
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.0.borrow_mut().remove(name)
+    }
+    fn list(&mut self) -> io::Result<BTreeMap<String, u64>> {
+        self.0.borrow_mut().list()
+    }
+    fn room(&mut self) -> u64 {
+        self.0.borrow_mut().room()
+    }
+}
+
 /// One notice, as plainly as can be.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Owed {
--- a/crates/journal/tests/crash.rs
+++ b/crates/journal/tests/crash.rs
@@ -57,43 +57,15 @@
 
 /// The files after a start that was killed.
 fn first_start(files: Memory) -> (Killed, Memory) {
-    let shared = std::rc::Rc::new(std::cell::RefCell::new(files));
-    let _ = Journal::open(Shared(shared.clone()), &options(24 * 1024), START);
-    let files = shared.borrow().clone();
+    let shared = Shared::new(files);
+    let _ = Journal::open(shared.clone(), &options(24 * 1024), START);
+    let files = shared.0.borrow().clone();
     (
         Killed { files: files.after_death(), promised: Model::default(), writing: Vec::new(), now: START },
         files,
     )
 }
 
-/// A folder that outlives the journal that is opened on it, also if that fails.
-#[derive(Clone)]
-struct Shared(std::rc::Rc<std::cell::RefCell<Memory>>);
-
-impl cranehill_journal::Storage for Shared {
-    fn append(&mut self, name: &str, bytes: &[u8]) -> std::io::Result<()> {
-        self.0.borrow_mut().append(name, bytes)
-    }
-    fn read(&mut self, name: &str, offset: u64, len: usize) -> std::io::Result<Vec<u8>> {
-        self.0.borrow_mut().read(name, offset, len)
-    }
-    fn truncate(&mut self, name: &str, size: u64) -> std::io::Result<()> {
-        self.0.borrow_mut().truncate(name, size)
-    }
-    fn rename(&mut self, from: &str, to: &str) -> std::io::Result<()> {
-        self.0.borrow_mut().rename(from, to)
-    }
-    fn remove(&mut self, name: &str) -> std::io::Result<()> {
-        self.0.borrow_mut().remove(name)
-    }
-    fn list(&mut self) -> std::io::Result<std::collections::BTreeMap<String, u64>> {
-        self.0.borrow_mut().list()
-    }
-    fn room(&mut self) -> u64 {
-        self.0.borrow_mut().room()
-    }
-}
-
 /// What is found is what was promised, and any first part of what was being written.
 fn check(killed: &Killed, found: &Recovered) -> Result<(), String> {
     if !found.damage.is_empty() || found.doubted > 0 || !found.lost.is_empty() {
@@ -187,7 +159,7 @@
                     for bytes in [0, 1, 40, 100] {
                         let mut files = folder.clone();
                         files.crash = Some(Crash { operation: op, bytes });
-                        let shared = Shared(std::rc::Rc::new(std::cell::RefCell::new(files)));
+                        let shared = Shared::new(files);
                         if let Ok((mut journal, _)) =
                             Journal::open(shared.clone(), &options(folder.disk), killed.now)
                         {
--- a/crates/journal/tests/hard_cases.rs
+++ b/crates/journal/tests/hard_cases.rs
@@ -282,38 +282,12 @@
         file[bytes[0]] = 2;
         file[bytes[1]] ^= 1;
         let before = newer.files.clone();
-        let shared = std::cell::RefCell::new(newer);
+        let shared = Shared::new(newer);
         let error =
-            Journal::open(Borrowed(&shared), &options(64 * 1024), START).map(|_| ()).expect_err("refused");
+            Journal::open(shared.clone(), &options(64 * 1024), START).map(|_| ()).expect_err("refused");
         assert!(matches!(&error, OpenError::Newer { file, version: 2, .. } if file == name), "{error}");
         assert_eq!(error.to_string().lines().count(), 1);
-        assert_eq!(shared.borrow().files, before);
-    }
-}
-
-struct Borrowed<'a>(&'a std::cell::RefCell<Memory>);
-
-impl Storage for Borrowed<'_> {
-    fn append(&mut self, name: &str, bytes: &[u8]) -> std::io::Result<()> {
-        self.0.borrow_mut().append(name, bytes)
-    }
-    fn read(&mut self, name: &str, offset: u64, len: usize) -> std::io::Result<Vec<u8>> {
-        self.0.borrow_mut().read(name, offset, len)
-    }
-    fn truncate(&mut self, name: &str, size: u64) -> std::io::Result<()> {
-        self.0.borrow_mut().truncate(name, size)
-    }
-    fn rename(&mut self, from: &str, to: &str) -> std::io::Result<()> {
-        self.0.borrow_mut().rename(from, to)
-    }
-    fn remove(&mut self, name: &str) -> std::io::Result<()> {
-        self.0.borrow_mut().remove(name)
-    }
-    fn list(&mut self) -> std::io::Result<std::collections::BTreeMap<String, u64>> {
-        self.0.borrow_mut().list()
-    }
-    fn room(&mut self) -> u64 {
-        self.0.borrow_mut().room()
+        assert_eq!(shared.0.borrow().files, before);
     }
 }
 
@@ -549,9 +523,9 @@
             let mut files = Memory::new(64 * 1024);
             files.files.insert("ledger".into(), whole.concat());
             files.crash = Some(cranehill_journal::Crash { operation, bytes });
-            let cell = std::cell::RefCell::new(files);
-            let _ = Journal::open(Borrowed(&cell), &options(64 * 1024), START + 10);
-            let left = cell.borrow().after_death();
+            let shared = Shared::new(files);
+            let _ = Journal::open(shared.clone(), &options(64 * 1024), START + 10);
+            let left = shared.0.borrow().after_death();
             let (_, found) = open(left, START + 20);
             assert_eq!(open_ids(&found.records), ["a", "d"], "operation {operation}, byte {bytes}");
         }
