--- a/crates/cranehill/src/cli.rs
+++ b/crates/cranehill/src/cli.rs
@@ -9,7 +9,7 @@
 
 use crate::kills::{self, Plan};
 use crate::logging::{self, Format};
-use crate::{journal, nginx, rehearsal};
+use crate::{journal, nginx, rehearse};
 use cranehill_daemon::config::{self, Config};
 use cranehill_daemon::reactor::{self, Order, Reactor, Setup, State};
 use cranehill_daemon::webpush;
@@ -46,10 +46,19 @@
         #[arg(value_name = "FILE")]
         file: PathBuf,
     },
-    /// Play a script against the real sender and a stand-in push service.
+    /// Play days against real senders on loopback and judge every rule; without a file, a short calm day.
     Rehearse {
-        #[arg(value_name = "SCRIPT")]
-        script: PathBuf,
+        /// Days (.toml), or scripts of pushes (.txt) against one sender and a stand-in push service.
+        #[arg(value_name = "FILE")]
+        files: Vec<PathBuf>,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Play each day so often, with one seed after the other.
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..))]
+        repeat: u64,
+        /// So many senders, whatever the day says.
+        #[arg(long)]
+        senders: Option<usize>,
     },
     /// Kill a real sender under load again and again, and check that nothing is lost, ended twice or wrongly repeated.
     Kills {
@@ -92,11 +101,13 @@
             Ok(())
         }
         Command::ImportNginx { file } => import_nginx(&file),
-        Command::Rehearse { script } => match rehearse(&script) {
-            Ok(true) => Ok(()),
-            Ok(false) => return ExitCode::FAILURE,
-            Err(why) => Err(why),
-        },
+        Command::Rehearse { files, seed, repeat, senders } => {
+            match rehearse::all(&files, seed, repeat, senders) {
+                Ok(true) => Ok(()),
+                Ok(false) => return ExitCode::FAILURE,
+                Err(why) => Err(why),
+            }
+        }
         Command::Kills { kills, seed, flip_every, disk_mb } => {
             match play_kills(kills, seed, flip_every, disk_mb) {
                 Ok(true) => Ok(()),
@@ -209,13 +220,6 @@
     Ok(())
 }
 
-fn rehearse(path: &Path) -> Result<bool, String> {
-    let script = rehearsal::parse(&read(path)?).map_err(|e| format!("{}: {e}", path.display()))?;
-    let report = rehearsal::play(&script)?;
-    report.lines.iter().for_each(|l| println!("{l}"));
-    Ok(report.missed == 0)
-}
-
 fn play_kills(kills: u32, seed: u64, flip_every: u32, disk_mb: f64) -> Result<bool, String> {
     let program = std::env::current_exe().map_err(|e| format!("this program's own file: {e}"))?;
     let bar = indicatif::ProgressBar::new(u64::from(kills));
--- a/crates/cranehill/src/lib.rs
+++ b/crates/cranehill/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod logging;
 pub mod nginx;
 pub mod rehearsal;
+pub mod rehearse;
--- /dev/null
+++ b/crates/model/src/audit/ends.rs
@@ -0,0 +1,185 @@
+//! One end for every notice that was taken on, in time; and an answer for every request.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::{Answer, Breach, Closing, Fate, Figures, Findings, Line, Rule, What};
+
+#[derive(Debug, Default)]
+struct Notice {
+    sender: Option<usize>,
+    handed: Duration,
+    handed_late: Duration,
+    handed_wire: String,
+    lasts: Duration,
+    taken: Option<Duration>,
+    answered: bool,
+    /// The first 200 that was written for it.
+    delivered: Option<(Duration, String)>,
+    closing: Option<(Closing, String)>,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Ends {
+    notices: BTreeMap<String, Notice>,
+    /// By sender: from when until when no end is overdue.
+    excused: BTreeMap<usize, Vec<(Duration, Option<Duration>)>>,
+}
+
+impl Ends {
+    pub(super) fn hear(&mut self, line: &Line, figures: &Figures, findings: &mut Findings) {
+        match &line.what {
+            What::Handed { id, lasts, .. } => {
+                let notice = self.notices.entry(id.clone()).or_default();
+                notice.sender = line.sender;
+                (notice.handed, notice.handed_late, notice.lasts) = (line.at, line.late, *lasts);
+                notice.handed_wire = line.wire.clone();
+            }
+            What::Answered { id, answer } => {
+                let Some(notice) = self.notices.get_mut(id) else { return };
+                notice.answered = true;
+                let over = line.at.saturating_sub(notice.handed).checked_sub(figures.patience);
+                let over = over.filter(|o| !o.is_zero());
+                let late = line.late + notice.handed_late;
+                let wire = vec![notice.handed_wire.clone(), line.wire.clone()];
+                let why = format!("answered after {} ms", line.at.saturating_sub(notice.handed).as_millis());
+                findings.judge(over, late, || breach(Rule::Answers, id, line.at, why, wire), Rule::Answers);
+                if *answer == Answer::TakenOn {
+                    notice.taken.get_or_insert(line.at);
+                }
+            }
+            What::Dropped { id } => {
+                let excused = line.sender.is_some_and(|s| self.is_excused(s, line.at));
+                let Some(notice) = self.notices.get(id).filter(|n| !n.answered && !excused) else { return };
+                let wire = vec![notice.handed_wire.clone(), line.wire.clone()];
+                findings.broken(breach(Rule::Answers, id, line.at, "closed without an answer".into(), wire));
+            }
+            What::Abandoned { id } => {
+                let excused = line.sender.is_some_and(|s| self.is_excused(s, line.at));
+                let Some(notice) = self.notices.get(id).filter(|n| !n.answered && !excused) else { return };
+                let wire = vec![notice.handed_wire.clone(), line.wire.clone()];
+                let why = format!("no answer in {} ms", figures.patience.as_millis());
+                // How much later it would have come nobody knows: a rig that was late itself is no proof.
+                let late = line.late + notice.handed_late;
+                findings.judge(
+                    Some(figures.slack),
+                    late,
+                    || breach(Rule::Answers, id, line.at, why, wire),
+                    Rule::Answers,
+                );
+            }
+            What::Replied { fates, .. } => {
+                for (id, _) in fates.iter().filter(|(_, fate)| *fate == Fate::Done) {
+                    if let Some(notice) = self.notices.get_mut(id) {
+                        notice.delivered.get_or_insert_with(|| (line.at, line.wire.clone()));
+                    }
+                }
+            }
+            What::Reported { id, closing } => self.reported(id, *closing, line, findings),
+            What::Signalled | What::Gone => {
+                if let Some(sender) = line.sender {
+                    let spans = self.excused.entry(sender).or_default();
+                    if spans.last().is_none_or(|(_, end)| end.is_some()) {
+                        spans.push((line.at, None));
+                    }
+                }
+            }
+            What::Ready => {
+                if let Some((_, end)) = line.sender.and_then(|s| self.excused.get_mut(&s)?.last_mut()) {
+                    end.get_or_insert(line.at + figures.restart);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn reported(&mut self, id: &str, closing: Closing, line: &Line, findings: &mut Findings) {
+        let Some(notice) = self.notices.get_mut(id) else {
+            let why = "a report of a notice that nobody handed in".into();
+            findings.broken(breach(Rule::OneEnd, id, line.at, why, vec![line.wire.clone()]));
+            return;
+        };
+        let kind = |c: &Closing| matches!(c, Closing::Returned { .. });
+        match &notice.closing {
+            // The same report again is no second end: it is resent until it is answered.
+            Some((first, _)) if kind(first) == kind(&closing) => {}
+            Some((_, wire)) => {
+                let wire = vec![wire.clone(), line.wire.clone()];
+                findings.broken(breach(Rule::OneEnd, id, line.at, "reported with two ends".into(), wire));
+            }
+            None => {
+                // What was delivered may still be reported as failed, if the 200 never reached the sender; but it must
+                // not be told as never run.
+                if let (Some((_, proof)), true) = (&notice.delivered, kind(&closing)) {
+                    let wire = vec![proof.clone(), line.wire.clone()];
+                    let why = "returned as never run, and it had been delivered".into();
+                    findings.broken(breach(Rule::OneEnd, id, line.at, why, wire));
+                }
+                notice.closing = Some((closing, line.wire.clone()));
+            }
+        }
+        if !notice.answered {
+            notice.answered = true;
+        }
+        self.in_time(id, line, findings);
+    }
+
+    fn in_time(&self, id: &str, line: &Line, findings: &mut Findings) {
+        let Some(notice) = self.notices.get(id) else { return };
+        let due = notice.handed + notice.lasts + Figures::default().overdue;
+        if notice.sender.is_some_and(|s| self.is_excused_since(s, due, line.at)) || notice.delivered.is_some()
+        {
+            return;
+        }
+        let over = line.at.checked_sub(due).filter(|o| !o.is_zero());
+        let why = format!("its end came {} ms after its time", over.unwrap_or_default().as_millis());
+        let wire = vec![notice.handed_wire.clone(), line.wire.clone()];
+        findings.judge(
+            over,
+            line.late + notice.handed_late,
+            || breach(Rule::InTime, id, line.at, why, wire),
+            Rule::InTime,
+        );
+    }
+
+    fn is_excused(&self, sender: usize, at: Duration) -> bool {
+        let spans = self.excused.get(&sender);
+        spans.is_some_and(|s| s.iter().any(|(from, to)| *from <= at && to.is_none_or(|to| at <= to)))
+    }
+
+    /// Whether the sender was excused when the end fell due, and has been until `at` or nearly.
+    fn is_excused_since(&self, sender: usize, due: Duration, at: Duration) -> bool {
+        let spans = self.excused.get(&sender);
+        spans.is_some_and(|s| s.iter().any(|(from, to)| *from <= due && to.is_none_or(|to| at <= to)))
+    }
+
+    /// The day is over: whatever was taken on and has no end is lost.
+    pub(super) fn close(
+        &mut self,
+        end: Duration,
+        late: Duration,
+        figures: &Figures,
+        findings: &mut Findings,
+    ) {
+        let notices = std::mem::take(&mut self.notices);
+        for (id, notice) in &notices {
+            let Some(taken) = notice.taken else { continue };
+            if notice.delivered.is_some() || notice.closing.is_some() {
+                findings.kept(Rule::OneEnd);
+                continue;
+            }
+            let due = notice.handed + notice.lasts + figures.overdue;
+            // A day that ends before its time says nothing about it.
+            let over = end.checked_sub(due).filter(|o| !o.is_zero());
+            let why = format!("taken on at {:.3} s, and neither delivered nor reported", taken.as_secs_f64());
+            let wire = vec![notice.handed_wire.clone()];
+            if over.is_some() {
+                findings.judge(over, late, || breach(Rule::OneEnd, id, end, why, wire), Rule::OneEnd);
+            }
+        }
+    }
+}
+
+fn breach(rule: Rule, id: &str, at: Duration, why: String, wire: Vec<String>) -> Breach {
+    Breach { rule, id: Some(id.to_owned()), partner: None, at, why, wire }
+}
--- /dev/null
+++ b/crates/model/src/audit/mod.rs
@@ -0,0 +1,384 @@
+//! The auditor: holds what passed on the stand-ins' sockets against the operators' rules. It shares no code with the
+//! sender, and knows nothing of it but what it said on the wire.
+//!
+//! Start at [`Auditor`]: it hears [`Line`]s in the order of time and gives a [`Verdict`] for each [`Rule`]. A rule with a
+//! bound is broken only if it is broken by more than the rig itself was late; what lies between is not judged.
+
+mod copies;
+mod ends;
+mod partners;
+mod returns;
+
+use std::fmt;
+use std::time::Duration;
+
+/// Figures of the rules, from the operators' pages.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Figures {
+    /// Attempts that a notice may have.
+    pub attempts: u32,
+    /// New work to an endpoint may go on for so long after the sender was told that it drains or is gone.
+    pub drain: Duration,
+    /// What reaches a partner so soon after a wait was told had been on its way.
+    pub wait_grace: Duration,
+    /// A connection idle for longer is not written to.
+    pub idle: Duration,
+    /// A notice that was taken on has its end so soon after its time at the latest.
+    pub overdue: Duration,
+    /// After a restart no report is overdue until so long after the sender is ready.
+    pub restart: Duration,
+    /// A client waits so long for its answer.
+    pub patience: Duration,
+    /// Time-outs of the rules are extended by this on sockets.
+    pub slack: Duration,
+    /// Most of what pushed a partner over: from this share on it is the senders' doing that saw it fail.
+    pub share: f64,
+    pub multiple: f64,
+    pub fall: Duration,
+    /// Messages in such a span that are put down to chance.
+    pub chance: f64,
+}
+
+impl Default for Figures {
+    fn default() -> Figures {
+        let ms = Duration::from_millis;
+        Figures {
+            attempts: 6,
+            drain: ms(500),
+            wait_grace: ms(100),
+            idle: ms(15_000),
+            overdue: ms(300),
+            restart: ms(1500),
+            patience: ms(400),
+            slack: ms(50),
+            share: 2.0 / 3.0,
+            multiple: 1.5,
+            fall: ms(3000),
+            chance: 2.0,
+        }
+    }
+}
+
+/// Whether a repeat does harm.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    Safe,
+    /// Repeats are dropped for so long from the first that may have run.
+    Keyed {
+        window: Duration,
+    },
+    Unsafe,
+}
+
+/// The answer to who handed a notice in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    TakenOn,
+    Refused { after: Option<Duration> },
+    Error,
+}
+
+/// How a closing report ends a notice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Closing {
+    Returned { after: Option<Duration> },
+    Failed,
+}
+
+/// What one notice of a call came to, as the partner knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    Done,
+    Failed,
+    Busy,
+}
+
+/// What the directory says of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    Up,
+    Draining,
+    Gone,
+}
+
+/// One thing that passed, or that the rig did.
+#[derive(Clone, Debug, PartialEq)]
+pub enum What {
+    /// The last byte of a notice was written to the sender.
+    Handed {
+        id: String,
+        class: usize,
+        partner: u64,
+        lasts: Duration,
+    },
+    Answered {
+        id: String,
+        answer: Answer,
+    },
+    /// The sender ended the client's connection with a request unanswered.
+    Dropped {
+        id: String,
+    },
+    /// The client ended it, out of patience.
+    Abandoned {
+        id: String,
+    },
+    Opened {
+        connection: u64,
+        endpoint: usize,
+        partner: u64,
+    },
+    Closed {
+        connection: u64,
+    },
+    /// The first byte of a call came.
+    Begun {
+        connection: u64,
+        endpoint: usize,
+        partner: u64,
+    },
+    /// Its last byte came.
+    Called {
+        connection: u64,
+        endpoint: usize,
+        partner: u64,
+        ids: Vec<String>,
+    },
+    /// The last byte of the answer was written.
+    Replied {
+        connection: u64,
+        endpoint: usize,
+        partner: u64,
+        fates: Vec<(String, Fate)>,
+        wait: Option<Duration>,
+    },
+    /// The stand-in ended the connection without a proper answer: refused, reset or spoilt. It may have run if `ran`.
+    Broke {
+        connection: u64,
+        endpoint: usize,
+        partner: u64,
+        ids: Vec<String>,
+        ran: bool,
+    },
+    Told {
+        endpoint: usize,
+        partner: u64,
+        listed: Listed,
+    },
+    Reported {
+        id: String,
+        closing: Closing,
+    },
+    /// The sender was asked to end, or was killed.
+    Signalled,
+    /// Its process is gone.
+    Gone,
+    /// It answers again.
+    Ready,
+    /// An outage of a partner is over since `since`; from `since` on it can do so many messages a second when warm.
+    Back {
+        partner: u64,
+        since: Duration,
+        down: Duration,
+        capacity: f64,
+        cold: f64,
+        warm: Duration,
+    },
+}
+
+/// One event, of one sender or of none.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Line {
+    /// Since the day began, when the rig noticed it.
+    pub at: Duration,
+    /// So much earlier it may have been.
+    pub late: Duration,
+    pub sender: Option<usize>,
+    pub what: What,
+    /// The bytes or words that prove it.
+    pub wire: String,
+}
+
+/// The rules that are judged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    OneEnd,
+    InTime,
+    SecondCopy,
+    Repeats,
+    Attempts,
+    Drains,
+    Waits,
+    Return,
+    Idle,
+    Answers,
+}
+
+impl Rule {
+    pub const ALL: [Rule; 10] = [
+        Rule::OneEnd,
+        Rule::InTime,
+        Rule::SecondCopy,
+        Rule::Repeats,
+        Rule::Attempts,
+        Rule::Drains,
+        Rule::Waits,
+        Rule::Return,
+        Rule::Idle,
+        Rule::Answers,
+    ];
+
+    /// The rule in a few words, as operators say it.
+    pub fn says(self) -> &'static str {
+        match self {
+            Rule::OneEnd => "every notice taken on has one end",
+            Rule::InTime => "every end comes in time",
+            Rule::SecondCopy => "never two attempts of a notice at once",
+            Rule::Repeats => "no repeat that its class forbids",
+            Rule::Attempts => "six attempts at most",
+            Rule::Drains => "nothing new to a draining endpoint after 500 ms",
+            Rule::Waits => "told waits are kept",
+            Rule::Return => "no returning partner is pushed over",
+            Rule::Idle => "nothing is written on a connection idle too long",
+            Rule::Answers => "every request is answered, in time",
+        }
+    }
+}
+
+impl fmt::Display for Rule {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.says())
+    }
+}
+
+/// One breach, with what proves it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Breach {
+    pub rule: Rule,
+    pub id: Option<String>,
+    pub partner: Option<u64>,
+    pub at: Duration,
+    pub why: String,
+    pub wire: Vec<String>,
+}
+
+impl fmt::Display for Breach {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:.3} s: {}: {}", self.at.as_secs_f64(), self.rule, self.why)?;
+        if let Some(id) = &self.id {
+            write!(f, " (notice {id})")?;
+        }
+        if let Some(partner) = self.partner {
+            write!(f, " (partner {partner})")?;
+        }
+        self.wire.iter().try_for_each(|w| write!(f, "\n    {w}"))
+    }
+}
+
+/// What became of one rule.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Verdict {
+    /// Held in so many cases in which it could have been broken.
+    Kept {
+        cases: u64,
+    },
+    Broken(Vec<Breach>),
+    /// In so many cases the rig was too late itself to tell.
+    NotJudged {
+        cases: u64,
+    },
+}
+
+/// What judges collect.
+#[derive(Debug, Default)]
+pub(crate) struct Findings {
+    pub breaches: Vec<Breach>,
+    cases: std::collections::BTreeMap<Rule, (u64, u64)>,
+}
+
+/// Breaches of one rule that are kept with their proof.
+const PROVEN_MOST: usize = 100;
+
+impl Findings {
+    /// The rule could have been broken here, and was not.
+    pub(crate) fn kept(&mut self, rule: Rule) {
+        self.cases.entry(rule).or_default().0 += 1;
+    }
+
+    fn unclear(&mut self, rule: Rule) {
+        self.cases.entry(rule).or_default().1 += 1;
+    }
+
+    /// `over` is by how much a bound was passed (`None` for not at all), `late` how late the rig was in all.
+    pub(crate) fn judge(
+        &mut self,
+        over: Option<Duration>,
+        late: Duration,
+        breach: impl FnOnce() -> Breach,
+        rule: Rule,
+    ) {
+        match over {
+            None => self.kept(rule),
+            Some(over) if over <= late => self.unclear(rule),
+            Some(_) => self.broken(breach()),
+        }
+    }
+
+    pub(crate) fn broken(&mut self, breach: Breach) {
+        self.breaches.push(breach);
+    }
+
+    fn verdict(&self, rule: Rule) -> Verdict {
+        let broken: Vec<Breach> =
+            self.breaches.iter().filter(|b| b.rule == rule).take(PROVEN_MOST).cloned().collect();
+        let (kept, unclear) = self.cases.get(&rule).copied().unwrap_or_default();
+        match (broken.is_empty(), unclear) {
+            (false, _) => Verdict::Broken(broken),
+            (true, 0) => Verdict::Kept { cases: kept },
+            (true, cases) => Verdict::NotJudged { cases },
+        }
+    }
+}
+
+/// Hears a day and judges it.
+#[derive(Debug)]
+pub struct Auditor {
+    figures: Figures,
+    findings: Findings,
+    ends: ends::Ends,
+    copies: copies::Copies,
+    partners: partners::Partners,
+    returns: returns::Returns,
+    now: Duration,
+}
+
+impl Auditor {
+    /// `classes` as the notices' positions name them.
+    pub fn new(figures: Figures, classes: Vec<Class>) -> Auditor {
+        Auditor {
+            figures,
+            findings: Findings::default(),
+            ends: ends::Ends::default(),
+            copies: copies::Copies::new(classes),
+            partners: partners::Partners::default(),
+            returns: returns::Returns::default(),
+            now: Duration::ZERO,
+        }
+    }
+
+    /// Lines come in the order of their instants.
+    pub fn hear(&mut self, line: &Line) {
+        self.now = self.now.max(line.at);
+        self.ends.hear(line, &self.figures, &mut self.findings);
+        self.copies.hear(line, &self.figures, &mut self.findings);
+        self.partners.hear(line, &self.figures, &mut self.findings);
+        self.returns.hear(line, &self.figures, &mut self.findings);
+    }
+
+    /// The day is over at `end`, when every notice must have had its end; `late` is the rig's lateness then.
+    pub fn verdicts(mut self, end: Duration, late: Duration) -> Vec<(Rule, Verdict)> {
+        self.ends.close(end, late, &self.figures, &mut self.findings);
+        self.returns.close(&self.figures, &mut self.findings);
+        Rule::ALL.into_iter().map(|rule| (rule, self.findings.verdict(rule))).collect()
+    }
+}
--- /dev/null
+++ b/crates/model/src/audit/partners.rs
@@ -0,0 +1,131 @@
+//! What partners asked for: drains, told waits, and connections that had been idle too long.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::{Breach, Figures, Findings, Line, Listed, Rule, What};
+
+#[derive(Debug, Default)]
+pub(super) struct Partners {
+    /// By sender and endpoint: since when it has been told that this endpoint drains or is gone.
+    leaving: BTreeMap<(usize, usize), (Duration, Duration, String)>,
+    /// By sender and partner: when the wait was told, until when it lasts, and what proves it.
+    waits: BTreeMap<(usize, u64), (Duration, Duration, Duration, String)>,
+    /// By connection: when something last passed on it.
+    used: BTreeMap<u64, (Duration, Duration)>,
+}
+
+impl Partners {
+    pub(super) fn hear(&mut self, line: &Line, figures: &Figures, findings: &mut Findings) {
+        match &line.what {
+            What::Told { endpoint, listed, .. } => {
+                let Some(sender) = line.sender else { return };
+                match listed {
+                    Listed::Up => {
+                        self.leaving.remove(&(sender, *endpoint));
+                    }
+                    Listed::Draining | Listed::Gone => {
+                        self.leaving
+                            .entry((sender, *endpoint))
+                            .or_insert_with(|| (line.at, line.late, line.wire.clone()));
+                    }
+                }
+            }
+            What::Opened { connection, .. } => {
+                self.used.insert(*connection, (line.at, line.late));
+            }
+            What::Closed { connection } | What::Broke { connection, .. } => {
+                self.used.remove(connection);
+            }
+            What::Begun { connection, endpoint, partner } => {
+                self.begun(*connection, *endpoint, *partner, line, figures, findings);
+            }
+            What::Called { connection, partner, .. } => {
+                self.used.insert(*connection, (line.at, line.late));
+                self.called(*partner, line, figures, findings);
+            }
+            What::Replied { connection, partner, wait, .. } => {
+                self.used.insert(*connection, (line.at, line.late));
+                if let (Some(sender), Some(wait)) = (line.sender, wait) {
+                    let until = line.at + *wait;
+                    let known = self.waits.get(&(sender, *partner));
+                    if known.is_none_or(|k| k.1 < until) {
+                        self.waits.insert((sender, *partner), (line.at, until, line.late, line.wire.clone()));
+                    }
+                }
+            }
+            // A restart ends a wait.
+            What::Gone => {
+                if let Some(sender) = line.sender {
+                    self.waits.retain(|(s, _), _| *s != sender);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn begun(
+        &mut self,
+        connection: u64,
+        endpoint: usize,
+        partner: u64,
+        line: &Line,
+        figures: &Figures,
+        findings: &mut Findings,
+    ) {
+        let breach = |rule, why: String, wire: Vec<String>| Breach {
+            rule,
+            id: None,
+            partner: Some(partner),
+            at: line.at,
+            why,
+            wire,
+        };
+        if let Some((told, late, proof)) = line.sender.and_then(|s| self.leaving.get(&(s, endpoint))) {
+            let passed = line.at.saturating_sub(*told);
+            let over = passed.checked_sub(figures.drain).filter(|o| !o.is_zero());
+            let why =
+                format!("a call begun {} ms after endpoint {endpoint} was told to leave", passed.as_millis());
+            let wire = vec![proof.clone(), line.wire.clone()];
+            findings.judge(over, line.late + *late, || breach(Rule::Drains, why, wire), Rule::Drains);
+        }
+        if let Some((used, late)) = self.used.get(&connection) {
+            let idle = line.at.saturating_sub(*used);
+            let over = idle.checked_sub(figures.idle).filter(|o| !o.is_zero());
+            let why = format!("a call on a connection that was idle for {} ms", idle.as_millis());
+            let wire = vec![line.wire.clone()];
+            findings.judge(over, line.late + *late, || breach(Rule::Idle, why, wire), Rule::Idle);
+        }
+    }
+
+    /// A call counts when its last byte has come.
+    fn called(&mut self, partner: u64, line: &Line, figures: &Figures, findings: &mut Findings) {
+        let Some(sender) = line.sender else { return };
+        let Some((told, until, late, proof)) = self.waits.get(&(sender, partner)) else { return };
+        if line.at >= *until {
+            findings.kept(Rule::Waits);
+            self.waits.remove(&(sender, partner));
+            return;
+        }
+        let passed = line.at.saturating_sub(*told);
+        if passed <= figures.wait_grace {
+            return;
+        }
+        // Broken by as much as it came after the grace, and by as much as it came before the end.
+        let over = (passed - figures.wait_grace).min(*until - line.at);
+        let why = format!(
+            "a call {} ms after a wait of {} ms was told",
+            passed.as_millis(),
+            (*until - *told).as_millis()
+        );
+        let breach = || Breach {
+            rule: Rule::Waits,
+            id: None,
+            partner: Some(partner),
+            at: line.at,
+            why,
+            wire: vec![proof.clone(), line.wire.clone()],
+        };
+        findings.judge(Some(over), line.late + *late, breach, Rule::Waits);
+    }
+}
--- /dev/null
+++ b/crates/model/src/audit/returns.rs
@@ -0,0 +1,116 @@
+//! A partner that comes back cold is not pushed over by those who saw it fail.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use super::{Breach, Fate, Figures, Findings, Line, Rule, What};
+
+/// A partner since its last outage.
+#[derive(Debug)]
+struct Back {
+    since: Duration,
+    down: Duration,
+    capacity: f64,
+    cold: f64,
+    warm: Duration,
+    /// Calls since then: when, from whom, how many messages, and what proves it.
+    sent: VecDeque<(Duration, usize, f64, String)>,
+    broken: bool,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Returns {
+    /// By partner and sender: when a call or connection there last failed or was refused.
+    failed: BTreeMap<(u64, usize), Vec<Duration>>,
+    back: BTreeMap<u64, Back>,
+}
+
+/// Failures that are kept of one sender at one partner: enough to tell in which outage they fell.
+const FAILURES_MOST: usize = 64;
+
+impl Returns {
+    pub(super) fn hear(&mut self, line: &Line, figures: &Figures, findings: &mut Findings) {
+        match &line.what {
+            What::Replied { partner, fates, .. } if fates.iter().any(|(_, fate)| *fate != Fate::Done) => {
+                self.note_failure(*partner, line);
+            }
+            What::Broke { partner, .. } => self.note_failure(*partner, line),
+            What::Called { partner, ids, .. } => self.called(*partner, ids.len(), line, figures, findings),
+            What::Back { partner, since, down, capacity, cold, warm } => {
+                let back = Back {
+                    since: *since,
+                    down: *down,
+                    capacity: *capacity,
+                    cold: *cold,
+                    warm: *warm,
+                    sent: VecDeque::new(),
+                    broken: false,
+                };
+                self.back.insert(*partner, back);
+            }
+            _ => {}
+        }
+    }
+
+    fn note_failure(&mut self, partner: u64, line: &Line) {
+        let Some(sender) = line.sender else { return };
+        let times = self.failed.entry((partner, sender)).or_default();
+        if times.len() == FAILURES_MOST {
+            times.remove(0);
+        }
+        times.push(line.at);
+    }
+
+    fn called(
+        &mut self,
+        partner: u64,
+        messages: usize,
+        line: &Line,
+        figures: &Figures,
+        findings: &mut Findings,
+    ) {
+        let Some(sender) = line.sender else { return };
+        let Some(back) = self.back.get_mut(&partner) else { return };
+        let since = line.at.saturating_sub(back.since);
+        if line.at < back.since || since >= back.warm {
+            return;
+        }
+        back.sent.push_back((line.at, sender, messages as f64, line.wire.clone()));
+        while back.sent.front().is_some_and(|(at, ..)| line.at.saturating_sub(*at) >= figures.fall) {
+            back.sent.pop_front();
+        }
+        let share = (back.cold + (1.0 - back.cold) * since.as_secs_f64() / back.warm.as_secs_f64().max(1e-9))
+            .min(1.0);
+        let budget = figures.multiple * share * back.capacity * figures.fall.as_secs_f64() + figures.chance;
+        let total: f64 = back.sent.iter().map(|s| s.2).sum();
+        if total <= budget {
+            findings.kept(Rule::Return);
+            return;
+        }
+        let (from, to) = (back.since.saturating_sub(back.down), back.since);
+        let saw = |sender: usize| {
+            let times = self.failed.get(&(partner, sender));
+            times.is_some_and(|t| t.iter().any(|at| (from..=to).contains(at)))
+        };
+        let theirs: f64 = back.sent.iter().filter(|s| saw(s.1)).map(|s| s.2).sum();
+        if theirs < total * figures.share || back.broken {
+            return;
+        }
+        back.broken = true;
+        findings.broken(Breach {
+            rule: Rule::Return,
+            id: None,
+            partner: Some(partner),
+            at: line.at,
+            why: format!(
+                "{total} messages in {:.1} s, {theirs} of them from senders that saw it fail; it could take {budget:.1}",
+                figures.fall.as_secs_f64()
+            ),
+            wire: back.sent.iter().rev().take(8).map(|s| s.3.clone()).collect(),
+        });
+    }
+
+    pub(super) fn close(&mut self, _figures: &Figures, _findings: &mut Findings) {
+        self.back.clear();
+    }
+}
--- /dev/null
+++ b/crates/model/tests/audit.rs
@@ -0,0 +1,241 @@
+//! Each rule on recorded logs: one that breaks it, and one that just keeps it.
+
+use std::time::Duration;
+
+use cranehill_model::audit::{
+    Answer, Auditor, Class, Closing, Fate, Figures, Line, Listed, Rule, Verdict, What,
+};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A log in the making.
+struct Log(Vec<Line>);
+
+impl Log {
+    fn add(mut self, at: u64, what: What) -> Log {
+        let wire = format!("{at} {what:?}");
+        self.0.push(Line { at: ms(at), late: Duration::ZERO, sender: Some(0), what, wire });
+        self
+    }
+
+    fn from(mut self, sender: usize) -> Log {
+        if let Some(line) = self.0.last_mut() {
+            line.sender = Some(sender);
+        }
+        self
+    }
+
+    fn late(mut self, late: u64) -> Log {
+        if let Some(line) = self.0.last_mut() {
+            line.late = ms(late);
+        }
+        self
+    }
+
+    /// Handed in at `at` and taken on 5 ms later.
+    fn taken(self, at: u64, id: &str, class: usize) -> Log {
+        let handed = What::Handed { id: id.into(), class, partner: 7, lasts: ms(20_000) };
+        self.add(at, handed).add(at + 5, What::Answered { id: id.into(), answer: Answer::TakenOn })
+    }
+
+    fn call(self, at: u64, connection: u64, ids: &[&str]) -> Log {
+        let ids = ids.iter().map(|i| (*i).to_owned()).collect();
+        self.add(at, What::Begun { connection, endpoint: 0, partner: 7 })
+            .add(at, What::Called { connection, endpoint: 0, partner: 7, ids })
+    }
+
+    fn reply(self, at: u64, connection: u64, id: &str, fate: Fate, wait: Option<u64>) -> Log {
+        let fates = vec![(id.to_owned(), fate)];
+        self.add(at, What::Replied { connection, endpoint: 0, partner: 7, fates, wait: wait.map(ms) })
+    }
+
+    fn report(self, at: u64, id: &str, closing: Closing) -> Log {
+        self.add(at, What::Reported { id: id.into(), closing })
+    }
+
+    fn verdict(&self, rule: Rule, end: u64) -> Verdict {
+        let classes = vec![Class::Safe, Class::Keyed { window: ms(20_000) }, Class::Unsafe];
+        let mut auditor = Auditor::new(Figures::default(), classes);
+        self.0.iter().for_each(|l| auditor.hear(l));
+        let verdicts = auditor.verdicts(ms(end), Duration::ZERO);
+        verdicts.into_iter().find(|(r, _)| *r == rule).expect("each rule has a verdict").1
+    }
+
+    fn keeps(&self, rule: Rule) {
+        let verdict = self.verdict(rule, 60_000);
+        assert!(matches!(verdict, Verdict::Kept { cases } if cases > 0), "{rule}: {verdict:?}");
+    }
+
+    fn breaks(&self, rule: Rule) {
+        let verdict = self.verdict(rule, 60_000);
+        let Verdict::Broken(breaches) = &verdict else { panic!("{rule}: {verdict:?}") };
+        assert!(breaches.iter().all(|b| b.rule == rule && !b.wire.is_empty()), "{breaches:?}");
+    }
+
+    fn is_not_judged(&self, rule: Rule) {
+        let verdict = self.verdict(rule, 60_000);
+        assert!(matches!(verdict, Verdict::NotJudged { .. }), "{rule}: {verdict:?}");
+    }
+}
+
+fn log() -> Log {
+    Log(Vec::new())
+}
+
+const RETURNED: Closing = Closing::Returned { after: None };
+
+#[test]
+fn one_end_for_each_notice() {
+    log().taken(0, "a", 0).call(10, 1, &["a"]).reply(300, 1, "a", Fate::Done, None).keeps(Rule::OneEnd);
+    log().taken(0, "a", 0).report(20_200, "a", Closing::Failed).keeps(Rule::OneEnd);
+    // Resent until it is answered.
+    log().taken(0, "a", 0).report(900, "a", RETURNED).report(1200, "a", RETURNED).keeps(Rule::OneEnd);
+    log().taken(0, "a", 0).breaks(Rule::OneEnd);
+    log().taken(0, "a", 0).report(900, "a", RETURNED).report(1200, "a", Closing::Failed).breaks(Rule::OneEnd);
+    log().report(900, "nobody", RETURNED).breaks(Rule::OneEnd);
+    // Delivered, and told as never run: the client hands it in again.
+    let delivered = log().taken(0, "a", 2).call(10, 1, &["a"]).reply(300, 1, "a", Fate::Done, None);
+    delivered.report(900, "a", RETURNED).breaks(Rule::OneEnd);
+    // The 200 may never have reached the sender.
+    let delivered = log().taken(0, "a", 2).call(10, 1, &["a"]).reply(300, 1, "a", Fate::Done, None);
+    delivered.report(900, "a", Closing::Failed).keeps(Rule::OneEnd);
+    // A day that ends before a notice's time says nothing.
+    let verdict = log().taken(0, "a", 0).verdict(Rule::OneEnd, 20_000);
+    assert_eq!(verdict, Verdict::Kept { cases: 0 });
+}
+
+#[test]
+fn every_end_in_time() {
+    log().taken(0, "a", 0).report(20_300, "a", Closing::Failed).keeps(Rule::InTime);
+    log().taken(0, "a", 0).report(20_301, "a", Closing::Failed).breaks(Rule::InTime);
+    log().taken(0, "a", 0).report(20_310, "a", Closing::Failed).late(30).is_not_judged(Rule::InTime);
+    // Killed, and back: nothing is overdue until 1.5 s after it is ready.
+    let killed = |at| {
+        log().taken(0, "a", 0).add(19_000, What::Gone).add(21_000, What::Ready).report(at, "a", RETURNED)
+    };
+    assert_eq!(killed(22_400).verdict(Rule::InTime, 60_000), Verdict::Kept { cases: 0 });
+    killed(22_600).breaks(Rule::InTime);
+}
+
+#[test]
+fn never_two_copies_at_once() {
+    let first = || log().taken(0, "a", 0).call(10, 1, &["a"]);
+    first().call(20, 2, &["a"]).breaks(Rule::SecondCopy);
+    first().reply(19, 1, "a", Fate::Busy, None).call(20, 2, &["a"]).keeps(Rule::SecondCopy);
+    // A call that is broken off is no longer out.
+    first().add(19, What::Closed { connection: 1 }).call(20, 2, &["a"]).keeps(Rule::SecondCopy);
+}
+
+#[test]
+fn no_repeat_that_the_class_forbids() {
+    let failed = |class| log().taken(0, "a", class).call(10, 1, &["a"]).reply(50, 1, "a", Fate::Failed, None);
+    failed(0).call(60, 1, &["a"]).keeps(Rule::Repeats);
+    failed(1).call(60, 1, &["a"]).keeps(Rule::Repeats);
+    failed(1).call(20_090, 1, &["a"]).keeps(Rule::Repeats);
+    failed(1).call(20_110, 1, &["a"]).breaks(Rule::Repeats);
+    failed(1).call(20_110, 1, &["a"]).late(20).is_not_judged(Rule::Repeats);
+    failed(2).call(60, 1, &["a"]).breaks(Rule::Repeats);
+    // What was turned away never ran.
+    let busy = log().taken(0, "a", 2).call(10, 1, &["a"]).reply(50, 1, "a", Fate::Busy, None);
+    assert!(matches!(busy.call(60, 1, &["a"]).verdict(Rule::Repeats, 60_000), Verdict::Kept { .. }));
+    // A call that the sender gave up may run all the same, also when the answer comes later.
+    let given_up = log().taken(0, "a", 2).call(10, 1, &["a"]).add(3000, What::Closed { connection: 1 });
+    given_up.call(3100, 2, &["a"]).breaks(Rule::Repeats);
+}
+
+#[test]
+fn six_attempts_at_most() {
+    let tried = |count: u64| {
+        (0..count).fold(log().taken(0, "a", 0), |log, n| {
+            log.call(n * 100 + 10, 1, &["a"]).reply(n * 100 + 50, 1, "a", Fate::Busy, None)
+        })
+    };
+    tried(6).keeps(Rule::Attempts);
+    tried(7).breaks(Rule::Attempts);
+}
+
+#[test]
+fn nothing_new_to_a_draining_endpoint() {
+    let told = || log().add(1000, What::Told { endpoint: 0, partner: 7, listed: Listed::Draining });
+    told().call(1500, 1, &["a"]).keeps(Rule::Drains);
+    told().call(1501, 1, &["a"]).breaks(Rule::Drains);
+    // The first of several tellings counts.
+    let again = told().add(1400, What::Told { endpoint: 0, partner: 7, listed: Listed::Gone });
+    again.call(1600, 1, &["a"]).breaks(Rule::Drains);
+    // Only who was told.
+    let other = told().add(1600, What::Begun { connection: 1, endpoint: 0, partner: 7 }).from(1);
+    assert_eq!(other.verdict(Rule::Drains, 60_000), Verdict::Kept { cases: 0 });
+    let up = told().add(1200, What::Told { endpoint: 0, partner: 7, listed: Listed::Up });
+    assert_eq!(up.call(1600, 1, &["a"]).verdict(Rule::Drains, 60_000), Verdict::Kept { cases: 0 });
+}
+
+#[test]
+fn told_waits_are_kept() {
+    let told = || log().taken(0, "a", 0).call(10, 1, &["a"]).reply(1000, 1, "a", Fate::Busy, Some(700));
+    told().call(1700, 1, &["a"]).keeps(Rule::Waits);
+    told().call(1500, 1, &["b"]).breaks(Rule::Waits);
+    // On its way as the wait was told, on another connection.
+    assert_eq!(told().call(1100, 2, &["b"]).verdict(Rule::Waits, 60_000), Verdict::Kept { cases: 0 });
+    told().call(1101, 2, &["b"]).breaks(Rule::Waits);
+    told().call(1110, 2, &["b"]).late(20).is_not_judged(Rule::Waits);
+    // A shorter wait told later does not end a longer one.
+    let shorter = told().call(1050, 2, &["b"]).reply(1060, 2, "b", Fate::Busy, Some(50));
+    shorter.call(1400, 1, &["a"]).breaks(Rule::Waits);
+    // A restart ends it.
+    let restarted = told().add(1200, What::Gone).add(1300, What::Ready).call(1400, 3, &["a"]);
+    assert_eq!(restarted.verdict(Rule::Waits, 60_000), Verdict::Kept { cases: 0 });
+}
+
+/// Twenty messages in 1.2 s to a partner that could take three a second.
+fn pushed(saw: usize, others: u64) -> Log {
+    let mut log = log();
+    // Sender 0 sees it fail, if it is to.
+    if saw > 0 {
+        log = log.call(3000, 1, &["x"]).reply(3005, 1, "x", Fate::Busy, None);
+    }
+    let back = What::Back {
+        partner: 7,
+        since: ms(5000),
+        down: ms(4000),
+        capacity: 10.0,
+        cold: 0.23,
+        warm: ms(9100),
+    };
+    log = log.add(5000, back);
+    for n in 0..20u64 {
+        log = log.call(5000 + n * 60, 1, &["y"]).from(usize::from(n < others));
+    }
+    log
+}
+
+#[test]
+fn a_returning_partner_is_not_pushed_over_by_those_who_saw_it_fail() {
+    pushed(1, 0).breaks(Rule::Return);
+    // A third came from one that had not seen it.
+    pushed(1, 5).breaks(Rule::Return);
+    assert!(matches!(pushed(1, 8).verdict(Rule::Return, 60_000), Verdict::Kept { .. }));
+    assert!(matches!(pushed(0, 0).verdict(Rule::Return, 60_000), Verdict::Kept { .. }));
+}
+
+#[test]
+fn nothing_on_a_connection_idle_too_long() {
+    let idle = |at| log().add(0, What::Opened { connection: 1, endpoint: 0, partner: 7 }).call(at, 1, &["a"]);
+    idle(15_000).keeps(Rule::Idle);
+    idle(15_001).breaks(Rule::Idle);
+}
+
+#[test]
+fn every_request_is_answered_in_time() {
+    let handed = || log().add(0, What::Handed { id: "a".into(), class: 0, partner: 7, lasts: ms(20_000) });
+    let refused =
+        |at| handed().add(at, What::Answered { id: "a".into(), answer: Answer::Refused { after: None } });
+    refused(400).keeps(Rule::Answers);
+    refused(401).breaks(Rule::Answers);
+    refused(410).late(20).is_not_judged(Rule::Answers);
+    handed().add(10, What::Dropped { id: "a".into() }).breaks(Rule::Answers);
+    // A sender that was killed can't answer.
+    let killed = handed().add(5, What::Gone).add(6, What::Dropped { id: "a".into() });
+    assert_eq!(killed.verdict(Rule::Answers, 60_000), Verdict::Kept { cases: 0 });
+}
--- /dev/null
+++ b/crates/rehearsal/src/lib.rs
@@ -0,0 +1,77 @@
+//! Rehearsals: a whole day on loopback with stand-in partners, directory, platform and clients in one loop, faults by
+//! script, real senders as processes, and the auditor's verdicts.
+//!
+//! Start at [`Plan`] and [`play`]. The behaviour of stand-ins is `cranehill_model`'s; here are sockets, processes and the
+//! clock. Everything binds to 127.0.0.0/8.
+#![forbid(unsafe_code)]
+
+pub mod report;
+mod senders;
+mod stage;
+mod wire;
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use cranehill_model::audit::{Line, Rule, Verdict};
+use cranehill_model::day::Day;
+
+pub use senders::Limits;
+pub use stage::play;
+
+/// Why a rehearsal could not be played. Breaches are no errors: they are in the [`Outcome`].
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    #[error("{program}: {source}: is it built?")]
+    Sender { program: PathBuf, source: std::io::Error },
+    #[error("sender {sender} did not start: {why}")]
+    NotReady { sender: usize, why: String },
+    #[error("sockets: {0}")]
+    Io(#[from] std::io::Error),
+}
+
+/// What to play, and with what.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub day: Day,
+    pub seed: u64,
+    /// The sender's program.
+    pub program: PathBuf,
+    pub limits: Limits,
+    /// For builds that have some: the breakage to play.
+    pub breakage: Option<String>,
+}
+
+/// What a day came to.
+#[derive(Debug)]
+pub struct Outcome {
+    pub verdicts: Vec<(Rule, Verdict)>,
+    /// Everything that passed.
+    pub lines: Vec<Line>,
+    /// Worth delivered and asked for.
+    pub worth: (f64, f64),
+    pub handed: u64,
+    pub delivered: u64,
+    /// Senders that ended without being told to.
+    pub crashed: Vec<usize>,
+    /// What voids a day: calls that nobody asked for, or that can't be read.
+    pub void: Vec<String>,
+    /// Warnings of the senders' logs, the first of each.
+    pub warnings: Vec<String>,
+    /// How late the rig itself was: at most, and 99 of 100 times.
+    pub late: (Duration, Duration),
+    pub lasted: Duration,
+}
+
+impl Outcome {
+    /// No rule is broken, nothing crashed, nothing was void.
+    pub fn holds(&self) -> bool {
+        let broken = |v: &Verdict| matches!(v, Verdict::Broken(_));
+        self.crashed.is_empty() && self.void.is_empty() && !self.verdicts.iter().any(|(_, v)| broken(v))
+    }
+
+    /// The machine was too busy to tell of some rule.
+    pub fn unclear(&self) -> bool {
+        self.verdicts.iter().any(|(_, v)| matches!(v, Verdict::NotJudged { .. }))
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/report.rs
@@ -0,0 +1,51 @@
+//! What a day came to, for a person: a short table, and each breach with the lines that prove it.
+
+use cranehill_model::audit::{Rule, Verdict};
+
+use crate::Outcome;
+
+/// Breaches of one rule that are shown in full.
+const SHOWN: usize = 3;
+
+/// The table of one day.
+pub fn table(name: &str, seed: u64, outcome: &Outcome) -> Vec<String> {
+    let (worth, asked) = outcome.worth;
+    let share = if asked > 0.0 { worth / asked } else { 1.0 };
+    let mut lines = vec![
+        format!("{name} (seed {seed}, {:.1} s)", outcome.lasted.as_secs_f64()),
+        format!(
+            "  service {share:.3}: {worth:.1} of {asked:.0} notices' worth; {} handings, {} delivered",
+            outcome.handed, outcome.delivered
+        ),
+        format!(
+            "  rig late by {:.1} ms at most, {:.2} ms 99 of 100 times",
+            outcome.late.0.as_secs_f64() * 1e3,
+            outcome.late.1.as_secs_f64() * 1e3
+        ),
+    ];
+    for (rule, verdict) in &outcome.verdicts {
+        let said = match verdict {
+            Verdict::Kept { cases } => format!("kept ({cases} cases)"),
+            Verdict::Broken(breaches) => format!("BROKEN ({} times)", breaches.len()),
+            Verdict::NotJudged { cases } => format!("not judged: the machine was too busy in {cases} cases"),
+        };
+        lines.push(format!("  {:<58} {said}", rule.says()));
+        if let Verdict::Broken(breaches) = verdict {
+            for breach in breaches.iter().take(SHOWN) {
+                lines.extend(breach.to_string().lines().map(|l| format!("      {l}")));
+            }
+        }
+    }
+    for sender in &outcome.crashed {
+        lines.push(format!("  CRASHED: sender {sender} ended without being told to"));
+    }
+    lines.extend(outcome.void.iter().take(SHOWN).map(|v| format!("  VOID: {v}")));
+    lines.extend(outcome.warnings.iter().take(5).map(|w| format!("  log: {w}")));
+    lines
+}
+
+/// Which rules were broken.
+pub fn broken(outcome: &Outcome) -> Vec<Rule> {
+    let broken = |v: &Verdict| matches!(v, Verdict::Broken(_));
+    outcome.verdicts.iter().filter(|(_, v)| broken(v)).map(|(r, _)| *r).collect()
+}
--- /dev/null
+++ b/crates/rehearsal/src/senders.rs
@@ -0,0 +1,228 @@
+//! Real senders as processes: configured, started, told to end, started again.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::mpsc::Sender as Channel;
+use std::thread;
+use std::time::Duration;
+
+use cranehill_model::day::{Day, Effect, Member};
+use cranehill_model::limit::Limit;
+use serde_json::{Value, json};
+
+use crate::RunError;
+
+/// What is heard of a sender's process.
+#[derive(Clone, Debug)]
+pub enum Heard {
+    /// It listens for clients there.
+    Ready(usize, SocketAddr),
+    /// A line of its log that warns.
+    Warned(usize, String),
+    /// Its log has ended.
+    Ended(usize),
+}
+
+/// Memory and descriptors that a sender is told that it has.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    pub memory_mb: f64,
+    pub sockets: usize,
+    pub disk_mb: f64,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits { memory_mb: 64.0, sockets: 512, disk_mb: 1.0 }
+    }
+}
+
+/// One sender.
+#[derive(Debug)]
+pub struct Process {
+    pub index: usize,
+    program: PathBuf,
+    folder: PathBuf,
+    child: Option<Child>,
+    pub address: Option<SocketAddr>,
+}
+
+impl Process {
+    pub fn new(index: usize, program: &Path, folder: &Path) -> Process {
+        let folder = folder.join(format!("sender-{index}"));
+        Process { index, program: program.to_owned(), folder, child: None, address: None }
+    }
+
+    /// Writes its configuration; a breakage is for builds that have some.
+    pub fn configure(&self, config: &Value) -> std::io::Result<()> {
+        std::fs::create_dir_all(&self.folder)?;
+        std::fs::write(self.folder.join("config.json"), config.to_string())
+    }
+
+    pub fn start(
+        &mut self,
+        heard: Channel<Heard>,
+        waker: Arc<mio::Waker>,
+        breakage: Option<&str>,
+    ) -> Result<(), RunError> {
+        let named = |source| RunError::Sender { program: self.program.clone(), source };
+        let mut command = Command::new(&self.program);
+        command
+            .arg("serve")
+            .env("NODE_CONFIG", self.folder.join("config.json"))
+            .env("NODE_STATE", self.folder.join("state"))
+            .env_remove("NODE_LISTEN")
+            .env_remove("NODE_DISCOVERY")
+            .env("RUST_LOG", "info")
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped());
+        if let Some(breakage) = breakage {
+            command.env("CRANEHILL_BREAK", breakage);
+        }
+        let mut child = command.spawn().map_err(named)?;
+        if let Some(stderr) = child.stderr.take() {
+            let index = self.index;
+            thread::spawn(move || {
+                for line in BufReader::new(stderr).lines().map_while(Result::ok) {
+                    let ready = line
+                        .split_once("listening for clients at ")
+                        .and_then(|(_, a)| a.split_whitespace().next()?.parse().ok());
+                    let said = match ready {
+                        Some(address) => Heard::Ready(index, address),
+                        None if line.contains("WARN")
+                            || line.contains("ERROR")
+                            || line.contains("panicked") =>
+                        {
+                            Heard::Warned(index, line)
+                        }
+                        None => continue,
+                    };
+                    if heard.send(said).is_err() || waker.wake().is_err() {
+                        return;
+                    }
+                }
+                let _ = heard.send(Heard::Ended(index));
+                let _ = waker.wake();
+            });
+        }
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Whether its process is there still.
+    pub fn is_running(&mut self) -> bool {
+        let ended = self.child.as_mut().is_none_or(|c| !matches!(c.try_wait(), Ok(None)));
+        if ended {
+            self.child = None;
+            self.address = None;
+        }
+        !ended
+    }
+
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        self.address = None;
+    }
+
+    /// Sends a signal by its name.
+    pub fn signal(&self, name: &str) {
+        if let Some(child) = &self.child {
+            let _ = Command::new("kill").args([&format!("-{name}"), &child.id().to_string()]).status();
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// The configuration of one sender: `list` is the directory's list with the addresses that it is to use.
+pub fn configuration(day: &Day, index: usize, discovery: SocketAddr, list: &Value, limits: Limits) -> Value {
+    let nanos = |d: Duration| d.as_nanos() as u64;
+    let classes: Vec<Value> = day
+        .classes
+        .iter()
+        .zip(&day.load.classes)
+        .map(|((name, effect), class)| {
+            let (effect, window) = match effect {
+                Effect::Safe => ("safe", class.lasts),
+                Effect::Keyed { window } => ("keyed", *window),
+                Effect::Unsafe => ("unsafe", class.lasts),
+            };
+            json!({"name": name, "effect": effect, "window": nanos(window), "aim": nanos(class.aim),
+                "deadline": nanos(class.lasts), "dedupScope": "all", "lateShare": class.late_share, "worth": 1.0})
+        })
+        .collect();
+    let per_call: Vec<usize> =
+        day.kinds.iter().map(|k| of_kind(day, k).map(|m| m.spec.batch).max().unwrap_or(1)).collect();
+    let apart: Vec<bool> = day.kinds.iter().map(|k| of_kind(day, k).all(|m| !m.spec.shared)).collect();
+    let tenants: Vec<Value> = day
+        .stations
+        .iter()
+        .zip(&day.load.stations)
+        .map(|(name, share)| json!({"name": name, "quotaRps": day.load.rate * share}))
+        .collect();
+    let (slots, held) = sizes(day);
+    let probes = false;
+    let rules = day.partners.first().map(|m| m.spec.back).unwrap_or_default();
+    json!({
+        "name": format!("n{index}"),
+        "seed": format!("{index:x}f"),
+        "listen": "127.0.0.1:0",
+        "discovery": discovery.to_string(),
+        "limits": {"cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.sockets, "disk_mb": limits.disk_mb},
+        "known": list,
+        "settings": {
+            "classes": classes,
+            "familyInfo": {"callsOut": slots, "kindApart": apart, "losesWorth": "halving", "perCall": per_call},
+            "membershipMode": "push",
+            "models": day.kinds,
+            "nInstances": day.senders,
+            "policyLimits": {"attemptsCap": 6, "connIdle": 15_000_000_000u64, "connectTimeout": 1_500_000_000u64,
+                "maxRetryAfter": 2_000_000_000u64, "mostHeld": held, "probes": probes, "retryAfter": true},
+            "rules": {"cold": nanos(rules.warm), "coldFrom": rules.cold, "fall": nanos(rules.fall),
+                "fallMultiple": rules.multiple, "graceToAnswer": 20_000_000},
+            "tenants": tenants,
+            "tick": 5_000_000,
+            "weightKind": "rough",
+            "zone": 0,
+            "zones": ["z"],
+        },
+    })
+}
+
+fn of_kind<'a>(day: &'a Day, kind: &'a str) -> impl Iterator<Item = &'a Member> {
+    day.partners.iter().filter(move |m| m.kind == kind)
+}
+
+/// Slots for calls and places for notices of one sender: twice what its part of the load keeps busy, ten seconds of it.
+fn sizes(day: &Day) -> (usize, usize) {
+    let weight: f64 = day.load.targets.iter().map(|t| t.weight).sum();
+    let pace = |n: usize| day.partners[n].spec.pace.as_secs_f64();
+    let mean: f64 =
+        day.load.targets.iter().enumerate().map(|(n, t)| t.weight * pace(n)).sum::<f64>() / weight.max(1e-9);
+    let part = day.load.rate / day.senders as f64;
+    let slots = (part * mean * 2.2).ceil().max(6.0) as usize;
+    (slots.min(400), ((part * 10.0).ceil().max(12.0) as usize).min(20_000))
+}
+
+/// The rate that the list gives for a partner: rough.
+pub fn rough_rate(member: &Member) -> f64 {
+    let batch = member.spec.batch as f64;
+    match member.spec.limit {
+        Limit::None => member.spec.capacity,
+        Limit::Rate { per_second, .. } => (per_second * batch).min(member.spec.capacity),
+        Limit::Count { calls, span } => {
+            (f64::from(calls) * batch / span.as_secs_f64()).min(member.spec.capacity)
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/wire.rs
@@ -0,0 +1,282 @@
+//! What stand-ins read and write: requests, answers and lists as the platform's pages have them. Pure.
+
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use cranehill_model::clients::{Handing, Said};
+use cranehill_model::partner::Fate;
+
+/// Heads and bodies beyond this are nothing that a sender of ours says.
+const HEAD_MOST: usize = 64 * 1024;
+const BODY_MOST: usize = 4 * 1024 * 1024;
+
+/// A request as it came whole.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    pub method: String,
+    pub path: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Request {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.as_str())
+    }
+}
+
+/// The first request in these bytes and how many they were; `None` if it is not whole, an error if it is none.
+pub fn request(bytes: &[u8]) -> Result<Option<(Request, usize)>, String> {
+    let mut headers = [httparse::EMPTY_HEADER; 64];
+    let mut parsed = httparse::Request::new(&mut headers);
+    let head = match parsed.parse(bytes).map_err(|e| e.to_string())? {
+        httparse::Status::Complete(head) => head,
+        httparse::Status::Partial if bytes.len() > HEAD_MOST => return Err("a head without an end".into()),
+        httparse::Status::Partial => return Ok(None),
+    };
+    let text = |v: &[u8]| String::from_utf8_lossy(v).into_owned();
+    let headers: Vec<(String, String)> =
+        parsed.headers.iter().map(|h| (h.name.to_owned(), text(h.value))).collect();
+    let length = headers.iter().find(|(n, _)| n.eq_ignore_ascii_case("content-length"));
+    let length: usize = match length {
+        Some((_, value)) => value.trim().parse().map_err(|_| format!("Content-Length: {value}"))?,
+        None => 0,
+    };
+    if length > BODY_MOST {
+        return Err(format!("a body of {length} bytes"));
+    }
+    let Some(body) = bytes.get(head..head + length) else { return Ok(None) };
+    let request = Request {
+        method: parsed.method.unwrap_or_default().to_owned(),
+        path: parsed.path.unwrap_or_default().to_owned(),
+        headers,
+        body: body.to_vec(),
+    };
+    Ok(Some((request, head + length)))
+}
+
+/// An answer with a body.
+pub fn response(status: u16, headers: &[(&str, String)], body: &str) -> Vec<u8> {
+    let reason = match status {
+        200 => "OK",
+        204 => "No Content",
+        400 => "Bad Request",
+        404 => "Not Found",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        500 => "Internal Server Error",
+        503 => "Service Unavailable",
+        _ => "Stand-in",
+    };
+    let mut text = format!("HTTP/1.1 {status} {reason}\r\nContent-Length: {}\r\n", body.len());
+    for (name, value) in headers {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    text.push_str("\r\n");
+    text.push_str(body);
+    text.into_bytes()
+}
+
+/// The notices of a call; an error if it is none that the platform's pages know.
+pub fn call_ids(request: &Request) -> Result<(Vec<String>, bool), String> {
+    match request.path.as_str() {
+        "/hook" => {
+            let id = request.header("X-Txn").ok_or("a call without X-Txn")?;
+            Ok((vec![id.to_owned()], false))
+        }
+        "/hook/batch" => {
+            let items: serde_json::Value =
+                serde_json::from_slice(&request.body).map_err(|e| e.to_string())?;
+            let items = items.as_array().ok_or("a batch is an array")?;
+            let mut ids = Vec::with_capacity(items.len());
+            for item in items {
+                let id = item["id"].as_str().ok_or("an item without an id")?;
+                let body = item["body"].as_str().ok_or("an item without a body")?;
+                STANDARD.decode(body).map_err(|e| format!("a body that is no Base64: {e}"))?;
+                if ids.iter().any(|i| i == id) {
+                    return Err(format!("{id} is in a batch twice"));
+                }
+                ids.push(id.to_owned());
+            }
+            if ids.is_empty() {
+                return Err("an empty batch".into());
+            }
+            Ok((ids, true))
+        }
+        other => Err(format!("no such path: {other}")),
+    }
+}
+
+/// A partner's answer to a call with these fates.
+pub fn call_answer(
+    ids: &[String],
+    batch: bool,
+    fates: &[Fate],
+    wait: Option<Duration>,
+    report: Option<(f64, f64)>,
+) -> Vec<u8> {
+    let mut headers = Vec::new();
+    if let Some((left, limit)) = report {
+        headers.push(("X-Pressure", format!("x0={left:.4},x1={limit:.3}")));
+    }
+    if let Some(wait) = wait {
+        headers.push(("Retry-After", format!("{:.6}", wait.as_secs_f64())));
+    }
+    let all = |fate: Fate| fates.iter().all(|f| *f == fate);
+    if all(Fate::Busy) {
+        return response(if wait.is_some() { 429 } else { 503 }, &headers, "");
+    }
+    if all(Fate::Failed) {
+        return response(500, &headers, "");
+    }
+    if !batch {
+        return response(200, &headers, "");
+    }
+    let state = |fate: &Fate| match fate {
+        Fate::Done => "done",
+        Fate::Failed => "failed",
+        Fate::Busy => "busy",
+    };
+    let rows: Vec<serde_json::Value> =
+        ids.iter().zip(fates).map(|(id, f)| serde_json::json!({"id": id, "state": state(f)})).collect();
+    response(200, &headers, &serde_json::Value::from(rows).to_string())
+}
+
+/// A notice as a station's program hands it in.
+pub fn put(handing: &Handing, class: &str, station: &str) -> Vec<u8> {
+    let mut names = format!("c={class},t={station},d={},dest={}", handing.lasts.as_millis(), handing.partner);
+    if let Some(key) = &handing.key {
+        names.push_str(&format!(",k={key}"));
+    }
+    if handing.retry {
+        names.push_str(",r=1");
+    }
+    if handing.again {
+        names.push_str(",again=1");
+    }
+    // Text that packs about as well as a real notice's.
+    let body: Vec<u8> = handing
+        .id
+        .bytes()
+        .cycle()
+        .zip(b"episodio de la tarde; ".iter().cycle())
+        .map(|(a, b)| if a % 3 == 0 { a } else { *b })
+        .take(handing.body)
+        .collect();
+    let mut bytes = b"*5\r\n".to_vec();
+    for word in [b"MSG.PUT" as &[u8], b"0000000000000000", handing.id.as_bytes(), names.as_bytes(), &body] {
+        bytes.extend_from_slice(format!("${}\r\n", word.len()).as_bytes());
+        bytes.extend_from_slice(word);
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes
+}
+
+/// A sender's answer to a client, and how many bytes it was.
+pub fn said(bytes: &[u8]) -> Option<(Said, usize)> {
+    let end = bytes.windows(2).position(|w| w == b"\r\n")?;
+    let line = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    let said = match line.strip_prefix("-BUSY") {
+        Some(rest) => {
+            let after = rest.trim().parse::<u64>().ok().map(Duration::from_millis);
+            Said::Refused { after }
+        }
+        None if line.starts_with('+') => Said::TakenOn,
+        None if line.starts_with('$') => {
+            let size: usize = line[1..].parse().ok()?;
+            return (bytes.len() >= end + 2 + size + 2).then_some((Said::TakenOn, end + 2 + size + 2));
+        }
+        None => Said::Error,
+    };
+    Some((said, end + 2))
+}
+
+/// `id` and how it ended, of each line of a closing report; an error if one can't be read.
+pub fn reports(body: &[u8]) -> Result<Vec<(String, Option<Duration>, bool)>, String> {
+    let mut all = Vec::new();
+    for line in String::from_utf8_lossy(body).lines().filter(|l| !l.trim().is_empty()) {
+        let read: serde_json::Value = serde_json::from_str(line).map_err(|e| e.to_string())?;
+        let id = read["id"].as_str().ok_or("a report without an id")?.to_owned();
+        let after = read["after_ms"].as_u64().map(Duration::from_millis);
+        match read["state"].as_str() {
+            Some("returned") => all.push((id, after, true)),
+            Some("failed") => all.push((id, None, false)),
+            other => return Err(format!("a report with the state {other:?}")),
+        }
+    }
+    Ok(all)
+}
+
+/// `from` and `hold_ms` of a question to the directory.
+pub fn watch(path: &str) -> Option<(u64, Duration)> {
+    let query = path.split_once('?')?.1;
+    let value = |name: &str| {
+        query.split('&').find_map(|p| p.strip_prefix(name)?.strip_prefix('=')?.parse::<u64>().ok())
+    };
+    Some((value("from")?, Duration::from_millis(value("hold_ms").unwrap_or(0).min(60_000))))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn requests_are_read_whole_or_not_at_all() {
+        let bytes = b"POST /hook HTTP/1.1\r\nX-Txn: aa\r\nContent-Length: 3\r\n\r\nabcGET";
+        for cut in 0..bytes.len() - 3 {
+            assert_eq!(request(&bytes[..cut]), Ok(None), "cut at {cut}");
+        }
+        let (read, used) = request(bytes).expect("good").expect("whole");
+        assert_eq!((read.body.as_slice(), used), (&b"abc"[..], bytes.len() - 3));
+        assert_eq!(call_ids(&read), Ok((vec!["aa".into()], false)));
+        assert!(request(b"\0\0\r\n\r\n").is_err());
+    }
+
+    #[test]
+    fn a_batch_with_mixed_ends_says_each() {
+        let ids = vec!["a".to_owned(), "b".to_owned()];
+        let text =
+            String::from_utf8(call_answer(&ids, true, &[Fate::Done, Fate::Busy], None, None)).expect("text");
+        assert!(text.starts_with("HTTP/1.1 200 ") && text.contains(r#"{"id":"b","state":"busy"}"#), "{text}");
+        let wait = Some(Duration::from_millis(700));
+        let text = String::from_utf8(call_answer(&ids, true, &[Fate::Busy; 2], wait, Some((0.4, 25.0))))
+            .expect("text");
+        assert!(text.starts_with("HTTP/1.1 429 ") && text.contains("Retry-After: 0.700000"), "{text}");
+        assert!(text.contains("X-Pressure: x0=0.4000,x1=25.000"));
+        let batch = |body: &str| {
+            let body = body.as_bytes().to_vec();
+            call_ids(&Request { method: "POST".into(), path: "/hook/batch".into(), headers: vec![], body })
+        };
+        assert_eq!(batch(r#"[{"id":"a","body":"eA=="},{"id":"b","body":""}]"#), Ok((ids, true)));
+        for bad in [
+            "[]",
+            "{",
+            r#"[{"id":"a"}]"#,
+            r#"[{"id":"a","body":"?"}]"#,
+            r#"[{"id":"a","body":""},{"id":"a","body":""}]"#,
+        ] {
+            assert!(batch(bad).is_err(), "{bad}");
+        }
+    }
+
+    #[test]
+    fn a_senders_words_are_understood() {
+        assert_eq!(said(b"+OK\r\n+"), Some((Said::TakenOn, 5)));
+        assert_eq!(said(b"$2\r\nOK\r\n"), Some((Said::TakenOn, 8)));
+        assert_eq!(
+            said(b"-BUSY 250\r\n"),
+            Some((Said::Refused { after: Some(Duration::from_millis(250)) }, 11))
+        );
+        assert_eq!(said(b"-BUSY\r\n"), Some((Said::Refused { after: None }, 7)));
+        assert_eq!(said(b"-ERR no\r\n"), Some((Said::Error, 9)));
+        assert_eq!(said(b"+OK\r"), None);
+        let lines =
+            b"{\"id\":\"a\",\"state\":\"failed\"}\n{\"id\":\"b\",\"state\":\"returned\",\"after_ms\":5}\n";
+        let read = reports(lines).expect("good");
+        assert_eq!(read[1], ("b".into(), Some(Duration::from_millis(5)), true));
+        assert!(reports(b"{\"id\":\"a\",\"state\":\"gone\"}").is_err());
+        assert_eq!(watch("/v1/endpoints?from=41&hold_ms=20000"), Some((41, Duration::from_secs(20))));
+        assert_eq!(watch("/v1/endpoints"), None);
+    }
+}
