Drop the live bytes of a doubt that is written anew

Found by the fuzzer: a doubt that grew kept the bytes of its older record counted as live, so its segment was never empty, and a debug build stopped.

--- a/crates/journal/src/recover.rs
+++ b/crates/journal/src/recover.rs
@@ -199,7 +199,7 @@
             why: Why::Damaged,
         });
     }
-    let doubts = doubts(&scan, written);
+    let doubts = doubts(&scan, written, &mut index);
     told.sweep(&index);
     told.sort();
     let recovered = put_together(&scan, &index, told, &doubts);
@@ -208,7 +208,7 @@
 
 /// What earlier lives wrote down, and what is found now. Damage that is still there when it is found again yields the
 /// same number, and counts once.
-fn doubts(scan: &Scan, written: Vec<Doubt>) -> Vec<Doubt> {
+fn doubts(scan: &Scan, written: Vec<Doubt>, index: &mut Index) -> Vec<Doubt> {
     let mut found: Vec<Doubt> = Vec::new();
     for stretch in scan.damage.iter().filter(|s| s.attempts > 0) {
         match found.iter_mut().find(|d| d.before == stretch.before) {
@@ -227,7 +227,9 @@
             // More than was written down: written anew.
             Some(known) if known.attempts < new.attempts => {
                 known.attempts = new.attempts;
-                known.place = None;
+                if let Some(place) = known.place.take() {
+                    index.drop_live(place);
+                }
             }
             Some(_) => {}
             None => all.push(new),
