--- /dev/null
+++ b/crates/core/src/breakage.rs
@@ -0,0 +1,80 @@
+//! Breakages for rehearsals: a build with the feature `breakages` can be told to break one rule, so that the auditor can be
+//! seen to catch it. Without the feature there is none, and nothing can switch one on.
+
+/// One way to break a rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Breakage {
+    /// Told waits are not passed on to the decisions.
+    IgnoresWaits,
+    /// What the directory says of draining and gone endpoints is not heard.
+    SendsToDrained,
+    /// Every call goes out twice.
+    TwoCopies,
+    /// Nothing is written to the journal.
+    ForgetsJournal,
+    /// `+OK` goes out as soon as a notice comes, and the notice is lost if the process dies then.
+    AnswersFirst,
+    /// Closing reports are not sent.
+    DropsReports,
+    /// Failures are hidden from the decisions: a partner that is back gets all that there is.
+    FloodsCold,
+    /// Refusals are held back.
+    HoldsAnswers,
+    /// A connection with bytes behind an answer is used again.
+    ReusesSpoilt,
+    /// What may have run is sent again whatever its class.
+    RepeatsUnsafe,
+    /// Nine attempts.
+    SeventhAttempt,
+    /// What is held at SIGTERM is forgotten.
+    LeaksAtStop,
+    /// Some clients are closed without an answer.
+    ClosesClients,
+}
+
+impl Breakage {
+    pub const ALL: [(&'static str, Breakage); 13] = [
+        ("ignores-waits", Breakage::IgnoresWaits),
+        ("sends-to-drained", Breakage::SendsToDrained),
+        ("two-copies", Breakage::TwoCopies),
+        ("forgets-journal", Breakage::ForgetsJournal),
+        ("answers-first", Breakage::AnswersFirst),
+        ("drops-reports", Breakage::DropsReports),
+        ("floods-cold", Breakage::FloodsCold),
+        ("holds-answers", Breakage::HoldsAnswers),
+        ("reuses-spoilt", Breakage::ReusesSpoilt),
+        ("repeats-unsafe", Breakage::RepeatsUnsafe),
+        ("seventh-attempt", Breakage::SeventhAttempt),
+        ("leaks-at-stop", Breakage::LeaksAtStop),
+        ("closes-clients", Breakage::ClosesClients),
+    ];
+
+    pub fn named(name: &str) -> Option<Breakage> {
+        Breakage::ALL.iter().find(|(n, _)| *n == name).map(|(_, b)| *b)
+    }
+}
+
+#[cfg(feature = "breakages")]
+static CHOSEN: std::sync::OnceLock<Breakage> = std::sync::OnceLock::new();
+
+/// Switches one on for the rest of the process; false if this build has none.
+pub fn choose(breakage: Breakage) -> bool {
+    #[cfg(feature = "breakages")]
+    return CHOSEN.set(breakage).is_ok();
+    #[cfg(not(feature = "breakages"))]
+    {
+        let _ = breakage;
+        false
+    }
+}
+
+/// Whether this one is on.
+pub fn is(breakage: Breakage) -> bool {
+    #[cfg(feature = "breakages")]
+    return CHOSEN.get() == Some(&breakage);
+    #[cfg(not(feature = "breakages"))]
+    {
+        let _ = breakage;
+        false
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 //! Start at [`Core`], [`Input`] and [`Effect`]; [`Record`] is what the journal keeps.
 #![forbid(unsafe_code)]
 
+pub mod breakage;
 mod effect;
 mod ended;
 mod input;
--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -5,6 +5,7 @@
 
 use tansycroft::api::{Condition, EndpointId, Event};
 
+use crate::breakage::{self, Breakage};
 use crate::effect::Effect;
 use crate::notice::Listing;
 use crate::reducer::{Core, Listed};
@@ -15,6 +16,12 @@
 impl Core {
     pub(crate) fn on_listed(&mut self, whole: bool, list: Vec<Listing>) -> Vec<Effect> {
         let mut hold_back = Vec::new();
+        let mut list = list;
+        let mut whole = whole;
+        if breakage::is(Breakage::SendsToDrained) {
+            list.retain(|l| l.entry.condition == Condition::Ready);
+            whole = false;
+        }
         if whole {
             let named: BTreeSet<&EndpointId> = list.iter().map(|l| &l.entry.endpoint).collect();
             hold_back.extend(self.list.keys().filter(|e| !named.contains(e)).cloned());
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -8,6 +8,7 @@
 };
 use tansycroft::{Sender, SettingsError, Time};
 
+use crate::breakage::{self, Breakage};
 use crate::effect::{Attempt, Effect, Record};
 use crate::ended::Ended;
 use crate::input::{AttemptEnd, Input, Kept};
@@ -82,7 +83,13 @@
 }
 
 impl Core {
-    pub fn new(set: Settings, seed: u64, now: Time) -> Result<Core, SettingsError> {
+    pub fn new(mut set: Settings, seed: u64, now: Time) -> Result<Core, SettingsError> {
+        if breakage::is(Breakage::RepeatsUnsafe) {
+            set.classes.iter_mut().for_each(|c| c.effect = tansycroft::api::Effect::Safe);
+        }
+        if breakage::is(Breakage::SeventhAttempt) {
+            set.attempts_cap = 9;
+        }
         Ok(Core {
             sender: Sender::new(set.clone(), seed, now)?,
             set,
@@ -137,6 +144,11 @@
             }
             Input::Recovered(records) => self.on_recovered(records),
             Input::Stopping => {
+                if breakage::is(Breakage::LeaksAtStop) {
+                    let now = self.now.0;
+                    let over = |id: &String| Record::Over { id: id.clone(), until: now };
+                    return vec![Effect::Keep(self.held.keys().map(over).collect())];
+                }
                 self.stopping = true;
                 Vec::new()
             }
@@ -208,7 +220,17 @@
 
     fn on_ended(&mut self, ends: Vec<AttemptEnd>) -> Vec<Effect> {
         let mut effects = Vec::new();
-        for end in ends {
+        for mut end in ends {
+            if breakage::is(Breakage::IgnoresWaits) {
+                end.told_wait = None;
+            }
+            let failed = matches!(
+                end.status,
+                Status::NoConnection | Status::TimedOut | Status::Refused | Status::Reset
+            );
+            if breakage::is(Breakage::FloodsCold) && failed {
+                (end.status, end.told_wait) = (Status::NotSent, None);
+            }
             let told = end.told_wait;
             let Some(held) = self.held.get_mut(&end.id) else {
                 // Withdrawn while out: the decisions still hear how it ended.
@@ -309,6 +331,10 @@
         self.records.append(&mut sent);
         answers.append(&mut self.deferred);
         for (endpoint, address, attempts) in calls {
+            if breakage::is(Breakage::TwoCopies) {
+                let (endpoint, address, attempts) = (endpoint.clone(), address.clone(), attempts.clone());
+                answers.push(Effect::Call { endpoint, address, attempts });
+            }
             answers.push(Effect::Call { endpoint, address, attempts });
         }
         self.deferred = answers;
--- a/crates/cranehill/src/cli.rs
+++ b/crates/cranehill/src/cli.rs
@@ -4,6 +4,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
+use cranehill_core::breakage::{self, Breakage};
 use cranehill_journal::Key;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
@@ -59,6 +60,10 @@
         /// So many senders, whatever the day says.
         #[arg(long)]
         senders: Option<usize>,
+        /// Play the broken builds: this program, built with the feature `breakages`, must be caught at each of them, and
+        /// the present one must pass the same days.
+        #[arg(long, value_name = "PROGRAM", conflicts_with_all = ["files", "repeat", "senders"])]
+        breakages: Option<PathBuf>,
     },
     /// Kill a real sender under load again and again, and check that nothing is lost, ended twice or wrongly repeated.
     Kills {
@@ -101,8 +106,12 @@
             Ok(())
         }
         Command::ImportNginx { file } => import_nginx(&file),
-        Command::Rehearse { files, seed, repeat, senders } => {
-            match rehearse::all(&files, seed, repeat, senders) {
+        Command::Rehearse { files, seed, repeat, senders, breakages } => {
+            let played = match &breakages {
+                Some(program) => rehearse::breakages(program, seed),
+                None => rehearse::all(&files, seed, repeat, senders),
+            };
+            match played {
                 Ok(true) => Ok(()),
                 Ok(false) => return ExitCode::FAILURE,
                 Err(why) => Err(why),
@@ -183,6 +192,14 @@
 }
 
 fn serve(webpush: Option<&Path>, key: Option<&Path>) -> Result<(), String> {
+    if let Some(name) = variable("CRANEHILL_BREAK") {
+        let breakage =
+            Breakage::named(&name).ok_or_else(|| format!("CRANEHILL_BREAK: no breakage '{name}'"))?;
+        if !breakage::choose(breakage) {
+            return Err("CRANEHILL_BREAK: this build has no breakages (feature `breakages`)".into());
+        }
+        log::warn!(breakage = name.as_str(); "this sender breaks a rule on purpose: {name}");
+    }
     let push = webpush.map(webpush_file).transpose()?;
     let key = key.map(journal_key).transpose()?;
     // Before anything else: a signal that comes while we start must not end the process.
--- a/crates/cranehill/src/rehearse.rs
+++ b/crates/cranehill/src/rehearse.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cranehill_model::day;
+use cranehill_rehearsal::breakages::CASES;
 use cranehill_rehearsal::{Limits, Plan, play, report};
 use indicatif::{ProgressBar, ProgressStyle};
 
@@ -70,6 +71,41 @@
     Ok(Plan { day, seed, program: program_of(&program), limits: Limits::default(), breakage: None })
 }
 
+/// Plays each breakage of `broken` on its day: false if one is not caught by its rule, or if this program breaks a rule on
+/// one of these days.
+pub fn breakages(broken: &Path, seed: u64) -> Result<bool, String> {
+    let mut all = true;
+    let mut days: Vec<&str> = CASES.iter().map(|c| c.day).collect();
+    days.sort_unstable();
+    days.dedup();
+    for text in days {
+        let plan = plan(text, seed, None)?;
+        let outcome = play(&plan, |_, _| {}).map_err(|e| e.to_string())?;
+        if !outcome.holds() {
+            report::table(&plan.day.name, seed, &outcome).iter().for_each(|l| println!("{l}"));
+        }
+        println!("{:<18} {}", "sound", if outcome.holds() { "passes" } else { "BREAKS A RULE" });
+        all &= outcome.holds();
+    }
+    for case in CASES {
+        let sound = plan(case.day, seed, None)?;
+        let plan = Plan { program: broken.to_owned(), breakage: Some(case.name.into()), ..sound };
+        let outcome = play(&plan, |_, _| {}).map_err(|e| e.to_string())?;
+        let broken = report::broken(&outcome);
+        let caught = broken.contains(&case.rule);
+        let by: Vec<&str> = broken.iter().map(|r| r.says()).collect();
+        let verdict = if caught { "caught" } else { "NOT CAUGHT" };
+        println!(
+            "{:<18} {verdict} in {:.1} s; broken: {}",
+            case.name,
+            outcome.lasted.as_secs_f64(),
+            by.join("; ")
+        );
+        all &= caught;
+    }
+    Ok(all)
+}
+
 /// The sender is this very program.
 fn program_of(path: &Path) -> PathBuf {
     path.to_owned()
--- a/crates/daemon/src/reactor.rs
+++ b/crates/daemon/src/reactor.rs
@@ -29,6 +29,7 @@
 use crate::partners::{self, Told, Verdict};
 use crate::webpush::{self, Push};
 use cranehill_core as core;
+use cranehill_core::breakage::{self, Breakage};
 use cranehill_core::{Attempt, AttemptEnd, Core, Effect, Input, Kept, Listing, Origin};
 use cranehill_journal::{Folder, Journal, Key, Options, Recovered};
 
@@ -133,6 +134,8 @@
     upkeep_at: Time,
     tell_stuck: Time,
     wakes: BTreeSet<Time>,
+    /// A breakage's: records that are answered for and not written.
+    unwritten: Vec<core::Record>,
     /// Something has come in since the last turn.
     dirty: bool,
     last_turn: Time,
@@ -277,6 +280,7 @@
             upkeep_at: now,
             tell_stuck: now,
             wakes: BTreeSet::new(),
+            unwritten: Vec::new(),
             dirty: true,
             last_turn: Time(0),
             stopping: None,
@@ -457,9 +461,16 @@
     fn carry_out(&mut self, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
+                Effect::Keep(records) if breakage::is(Breakage::AnswersFirst) => {
+                    self.unwritten.extend(records);
+                    let effects = self.core.step(self.clock.now(), Input::Kept(Kept::All));
+                    self.carry_out(effects);
+                }
                 Effect::Keep(records) => {
                     let now = millis(self.clock.now());
-                    let kept = match self.journal.as_mut().map_or(Ok(()), |j| j.append(now, &records)) {
+                    let forgets = breakage::is(Breakage::ForgetsJournal);
+                    let journal = self.journal.as_mut().filter(|_| !forgets);
+                    let kept = match journal.map_or(Ok(()), |j| j.append(now, &records)) {
                         Ok(()) => Kept::All,
                         Err(e) => {
                             log::error!(records = records.len(), kept:? = e.kept;
@@ -480,6 +491,7 @@
                 }
                 Effect::Answer { to: Origin::EarlierLife, .. } => {}
                 Effect::Call { endpoint, address, attempts } => self.call(endpoint, address, attempts),
+                Effect::Report { .. } if breakage::is(Breakage::DropsReports) => {}
                 Effect::Report { id, closing } => self.reports.add(id, closing),
                 Effect::HoldBack { endpoints } => self.hold_back(&endpoints),
                 Effect::CloseIdle(endpoint) => self.close_idle(&endpoint),
--- a/crates/daemon/src/reactor/calls.rs
+++ b/crates/daemon/src/reactor/calls.rs
@@ -199,7 +199,8 @@
                 if let [Verdict { status: Status::Rejected, .. }, ..] = told.verdicts[..] {
                     log::error!("partner {endpoint}: answered {} to {}", response.status, out.ids[0]);
                 }
-                if response.close || ended || !written || link.input.len() > used {
+                let trailing = link.input.len() > used && !breakage::is(Breakage::ReusesSpoilt);
+                if response.close || ended || !written || trailing {
                     self.drop_link(id);
                 } else {
                     link.input.clear();
--- a/crates/daemon/src/reactor/door.rs
+++ b/crates/daemon/src/reactor/door.rs
@@ -127,6 +127,13 @@
     }
 
     pub(super) fn answer(&mut self, id: usize, bytes: Vec<u8>) {
+        if breakage::is(Breakage::HoldsAnswers) && bytes.starts_with(b"-BUSY") {
+            return;
+        }
+        if breakage::is(Breakage::ClosesClients) && id.is_multiple_of(5) {
+            self.drop_link(id);
+            return;
+        }
         let Some(link) = self.links.get_mut(&id) else { return };
         match &mut link.role {
             Role::Client { busy } => *busy = false,
--- a/crates/journal/src/compact.rs
+++ b/crates/journal/src/compact.rs
@@ -197,13 +197,15 @@
         let first = self.next_lsn;
         let mut lsn = first;
         for (range, slot) in live {
-            let Some((_, fact)) = bytes.get(range.clone()).and_then(fact::read) else { continue };
-            if let Fact::Doubt { until, .. } = fact
-                && until + DOUBT_GRACE < now
-            {
-                // All that it concerned has ended.
-                moved.push((fact, *slot, 0));
-                continue;
+            let Some((_, mut fact)) = bytes.get(range.clone()).and_then(fact::read) else { continue };
+            if let Fact::Doubt { until, .. } = &mut fact {
+                // A later life may have taken up again what it concerns, and knows better.
+                *until = self.doubts.get(*slot as usize).map_or(*until, |d| d.until.max(*until));
+                if until.saturating_add(DOUBT_GRACE) < now {
+                    // All that it concerned has ended.
+                    moved.push((fact, *slot, 0));
+                    continue;
+                }
             }
             let at = out.len();
             frame::write(salt, &mut out, |b| fact::write(lsn, &fact, b));
--- a/crates/journal/src/open.rs
+++ b/crates/journal/src/open.rs
@@ -75,7 +75,7 @@
         }
         // Those whose time is out already are still to be concluded by this life.
         let until = latest.unwrap_or(0).max(now);
-        doubts.iter_mut().filter(|d| d.place.is_none()).for_each(|d| d.until = until);
+        doubts.iter_mut().for_each(|d| d.until = d.until.max(until));
         journal.doubts = doubts;
         for lost in &recovered.lost {
             journal.pending.push(Record::Closing { id: lost.id.clone(), closing: Closing::Failed });
--- a/crates/model/src/audit/mod.rs
+++ b/crates/model/src/audit/mod.rs
@@ -144,13 +144,14 @@
         partner: u64,
         ids: Vec<String>,
     },
-    /// The last byte of the answer was written.
+    /// The last byte of the answer was written, with more behind it if it was `spoilt`.
     Replied {
         connection: u64,
         endpoint: usize,
         partner: u64,
         fates: Vec<(String, Fate)>,
         wait: Option<Duration>,
+        spoilt: bool,
     },
     /// The stand-in ended the connection without a proper answer: refused, reset or spoilt. It may have run if `ran`.
     Broke {
@@ -239,7 +240,7 @@
             Rule::Drains => "nothing new to a draining endpoint after 500 ms",
             Rule::Waits => "told waits are kept",
             Rule::Return => "no returning partner is pushed over",
-            Rule::Idle => "nothing is written on a connection idle too long",
+            Rule::Idle => "no connection is used that was idle too long, or spoilt",
             Rule::Answers => "every request is answered, in time",
         }
     }
--- a/crates/model/src/audit/partners.rs
+++ b/crates/model/src/audit/partners.rs
@@ -11,6 +11,8 @@
     leaving: BTreeMap<(usize, usize), (Duration, Duration, String)>,
     /// By sender and partner: when the wait was told, until when it lasts, and what proves it.
     waits: BTreeMap<(usize, u64), (Duration, Duration, Duration, String)>,
+    /// Connections on which more came than an answer, and what proves it.
+    spoilt: BTreeMap<u64, String>,
     /// By connection: when something last passed on it.
     used: BTreeMap<u64, (Duration, Duration)>,
 }
@@ -36,6 +38,7 @@
             }
             What::Closed { connection } | What::Broke { connection, .. } => {
                 self.used.remove(connection);
+                self.spoilt.remove(connection);
             }
             What::Begun { connection, endpoint, partner } => {
                 self.begun(*connection, *endpoint, *partner, line, figures, findings);
@@ -44,7 +47,10 @@
                 self.used.insert(*connection, (line.at, line.late));
                 self.called(*partner, line, figures, findings);
             }
-            What::Replied { connection, partner, wait, .. } => {
+            What::Replied { connection, partner, wait, spoilt, .. } => {
+                if *spoilt {
+                    self.spoilt.insert(*connection, line.wire.clone());
+                }
                 self.used.insert(*connection, (line.at, line.late));
                 if let (Some(sender), Some(wait)) = (line.sender, wait) {
                     let until = line.at + *wait;
@@ -89,6 +95,14 @@
             let wire = vec![proof.clone(), line.wire.clone()];
             findings.judge(over, line.late + *late, || breach(Rule::Drains, why, wire), Rule::Drains);
         }
+        if let Some(proof) = self.spoilt.get(&connection) {
+            let wire = vec![proof.clone(), line.wire.clone()];
+            findings.broken(breach(
+                Rule::Idle,
+                "a call on a connection with more behind its last answer".into(),
+                wire,
+            ));
+        }
         if let Some((used, late)) = self.used.get(&connection) {
             let idle = line.at.saturating_sub(*used);
             let over = idle.checked_sub(figures.idle).filter(|o| !o.is_zero());
--- a/crates/model/tests/audit.rs
+++ b/crates/model/tests/audit.rs
@@ -48,7 +48,8 @@
 
     fn reply(self, at: u64, connection: u64, id: &str, fate: Fate, wait: Option<u64>) -> Log {
         let fates = vec![(id.to_owned(), fate)];
-        self.add(at, What::Replied { connection, endpoint: 0, partner: 7, fates, wait: wait.map(ms) })
+        let spoilt = false;
+        self.add(at, What::Replied { connection, endpoint: 0, partner: 7, fates, wait: wait.map(ms), spoilt })
     }
 
     fn report(self, at: u64, id: &str, closing: Closing) -> Log {
@@ -224,6 +225,15 @@
     let idle = |at| log().add(0, What::Opened { connection: 1, endpoint: 0, partner: 7 }).call(at, 1, &["a"]);
     idle(15_000).keeps(Rule::Idle);
     idle(15_001).breaks(Rule::Idle);
+    // More came than an answer: whatever is read there next is anybody's guess.
+    let spoilt = |spoilt| {
+        let fates = vec![("a".to_owned(), Fate::Done)];
+        let replied = What::Replied { connection: 1, endpoint: 0, partner: 7, fates, wait: None, spoilt };
+        log().taken(0, "a", 0).call(10, 1, &["a"]).add(300, replied)
+    };
+    spoilt(true).call(400, 1, &["b"]).breaks(Rule::Idle);
+    spoilt(false).call(400, 1, &["b"]).keeps(Rule::Idle);
+    spoilt(true).add(310, What::Closed { connection: 1 }).call(400, 2, &["b"]).keeps(Rule::SecondCopy);
 }
 
 #[test]
--- /dev/null
+++ b/crates/rehearsal/src/breakages.rs
@@ -0,0 +1,34 @@
+//! Broken builds: each named breakage with a day on which it shows, and the rules of which one must catch it.
+
+use cranehill_model::audit::Rule;
+
+const PARTNERS: &str = include_str!("../../../rehearsals/days/broken-partners.toml");
+const RESTARTS: &str = include_str!("../../../rehearsals/days/broken-restarts.toml");
+const UNSAFE: &str = include_str!("../../../rehearsals/days/broken-unsafe.toml");
+const RETURN: &str = include_str!("../../../rehearsals/days/broken-return.toml");
+
+/// One breakage as a rehearsal plays it.
+#[derive(Clone, Copy, Debug)]
+pub struct Case {
+    pub name: &'static str,
+    pub rule: Rule,
+    /// The day's file.
+    pub day: &'static str,
+}
+
+/// All of them, by the names that a build with breakages knows.
+pub const CASES: [Case; 13] = [
+    Case { name: "ignores-waits", rule: Rule::Waits, day: PARTNERS },
+    Case { name: "sends-to-drained", rule: Rule::Drains, day: PARTNERS },
+    Case { name: "two-copies", rule: Rule::SecondCopy, day: PARTNERS },
+    Case { name: "forgets-journal", rule: Rule::OneEnd, day: RESTARTS },
+    Case { name: "answers-first", rule: Rule::OneEnd, day: RESTARTS },
+    Case { name: "drops-reports", rule: Rule::OneEnd, day: PARTNERS },
+    Case { name: "floods-cold", rule: Rule::Return, day: RETURN },
+    Case { name: "holds-answers", rule: Rule::Answers, day: PARTNERS },
+    Case { name: "reuses-spoilt", rule: Rule::Idle, day: PARTNERS },
+    Case { name: "repeats-unsafe", rule: Rule::Repeats, day: UNSAFE },
+    Case { name: "seventh-attempt", rule: Rule::Attempts, day: PARTNERS },
+    Case { name: "leaks-at-stop", rule: Rule::OneEnd, day: RESTARTS },
+    Case { name: "closes-clients", rule: Rule::Answers, day: PARTNERS },
+];
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -5,6 +5,7 @@
 //! clock. Everything binds to 127.0.0.0/8.
 #![forbid(unsafe_code)]
 
+pub mod breakages;
 pub mod report;
 mod senders;
 mod stage;
--- a/crates/rehearsal/src/stage.rs
+++ b/crates/rehearsal/src/stage.rs
@@ -681,14 +681,14 @@
         }
         let Some(Out { ids, batch, .. }) = out.take() else { return };
         let all: Vec<Fate> = vec![Fate::Done; ids.len()];
-        let (bytes, fates, wait, close) = match reply {
+        let (bytes, fates, wait, spoilt) = match reply {
             Reply::Answer { fates, wait, report, .. } => {
                 (wire::call_answer(&ids, batch, &fates, wait, report), fates, wait, false)
             }
             Reply::Spoilt { how: Spoilt::Trailing, .. } => {
                 let mut bytes = wire::call_answer(&ids, batch, &all, None, None);
                 bytes.extend_from_slice(b"and more");
-                (bytes, all, None, false)
+                (bytes, all, None, true)
             }
             Reply::Spoilt { how, .. } => {
                 if let Role::Partner { out, .. } = &mut found.role {
@@ -724,16 +724,19 @@
         };
         let by_id: Vec<(String, audit::Fate)> = ids.iter().cloned().zip(fates.iter().map(judged)).collect();
         self.say(link, &bytes);
-        if close {
-            self.drop_link(link, false);
-        }
         for (id, _) in by_id.iter().filter(|(_, f)| *f == audit::Fate::Done) {
             self.pending.remove(id);
             self.clients.delivered(now, id);
             self.outcome.delivered += 1;
         }
-        let what =
-            What::Replied { connection: id, endpoint: audited, partner: partner as u64, fates: by_id, wait };
+        let what = What::Replied {
+            connection: id,
+            endpoint: audited,
+            partner: partner as u64,
+            fates: by_id,
+            wait,
+            spoilt,
+        };
         self.record(Some(sender), what, &line);
         let used = self.now();
         if let Some(found) = self.links.get_mut(&link) {
