--- a/crates/cranehill/src/cli.rs
+++ b/crates/cranehill/src/cli.rs
@@ -60,6 +60,9 @@
         /// So many senders, whatever the day says.
         #[arg(long)]
         senders: Option<usize>,
+        /// Write each day's report there: JSON, every event as Parquet, and a page with plots.
+        #[arg(long, value_name = "DIR")]
+        out: Option<PathBuf>,
         /// Play the broken builds: this program, built with the feature `breakages`, must be caught at each of them, and
         /// the present one must pass the same days.
         #[arg(long, value_name = "PROGRAM", conflicts_with_all = ["files", "repeat", "senders"])]
@@ -106,10 +109,10 @@
             Ok(())
         }
         Command::ImportNginx { file } => import_nginx(&file),
-        Command::Rehearse { files, seed, repeat, senders, breakages } => {
+        Command::Rehearse { files, seed, repeat, senders, out, breakages } => {
             let played = match &breakages {
                 Some(program) => rehearse::breakages(program, seed),
-                None => rehearse::all(&files, seed, repeat, senders),
+                None => rehearse::all(&files, seed, repeat, senders, out.as_deref()),
             };
             match played {
                 Ok(true) => Ok(()),
--- a/crates/cranehill/src/rehearse.rs
+++ b/crates/cranehill/src/rehearse.rs
@@ -5,7 +5,7 @@
 
 use cranehill_model::day;
 use cranehill_rehearsal::breakages::CASES;
-use cranehill_rehearsal::{Limits, Plan, play, report};
+use cranehill_rehearsal::{Limits, Plan, out, play, report};
 use indicatif::{ProgressBar, ProgressStyle};
 
 use crate::rehearsal;
@@ -15,7 +15,13 @@
 
 /// Plays all files; false if a rule is broken or an expectation missed. An error if a file can't be played, or the
 /// machine was too busy to judge.
-pub fn all(files: &[PathBuf], seed: u64, repeat: u64, senders: Option<usize>) -> Result<bool, String> {
+pub fn all(
+    files: &[PathBuf],
+    seed: u64,
+    repeat: u64,
+    senders: Option<usize>,
+    to: Option<&Path>,
+) -> Result<bool, String> {
     let mut plans = Vec::new();
     let mut scripts = Vec::new();
     // All files are checked before any is played.
@@ -41,7 +47,7 @@
         holds &= report.missed == 0;
     }
     let count = plans.len();
-    for plan in plans {
+    for (played, plan) in plans.into_iter().enumerate() {
         let bar = bar(&plan.day.name);
         let outcome = play(&plan, |now, end| {
             bar.set_length(end.as_millis() as u64);
@@ -50,6 +56,12 @@
         bar.finish_and_clear();
         let outcome = outcome.map_err(|e| e.to_string())?;
         report::table(&plan.day.name, plan.seed, &outcome).iter().for_each(|l| println!("{l}"));
+        if let Some(dir) = to {
+            // One day goes right there; several have a folder each.
+            let dir =
+                if count == 1 { dir.to_owned() } else { dir.join(format!("{played:02}-seed{}", plan.seed)) };
+            out::write(&dir, &plan, &outcome).map_err(|e| format!("{}: {e}", dir.display()))?;
+        }
         holds &= outcome.holds();
         unclear += usize::from(outcome.holds() && outcome.unclear());
     }
--- /dev/null
+++ b/crates/rehearsal/src/figures.rs
@@ -0,0 +1,124 @@
+//! Figures of a day, read off its lines alone.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use cranehill_model::audit::{Answer, Fate, Line, What};
+use cranehill_model::day::Day;
+use cranehill_model::partner::Partner;
+use hdrhistogram::Histogram;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// A curve: seconds and values.
+pub type Curve = Vec<(f64, f64)>;
+
+/// What a day looked like over time.
+#[derive(Debug)]
+pub struct Figures {
+    /// Milliseconds from a notice's handing in to its answer, and to the 200 that a partner wrote for it.
+    pub answered: Histogram<u64>,
+    pub delivered: Histogram<u64>,
+    /// Notices handed in, delivered and refused, by second.
+    pub handed: Curve,
+    pub done: Curve,
+    pub refused: Curve,
+    /// Calls out, by sender.
+    pub in_flight: Vec<Curve>,
+    /// Partners that have told some sender to wait, over time.
+    pub waits: Curve,
+    /// By partner: messages sent to it a second, and what it could do.
+    pub partners: Vec<(String, Curve, Curve)>,
+}
+
+/// An hour in ms, beyond which nothing is told apart.
+const MOST: u64 = 3_600_000;
+
+fn histogram() -> Histogram<u64> {
+    // Bounds are constants that the library takes.
+    Histogram::new_with_bounds(1, MOST, 3).unwrap_or_else(|_| unreachable!("fixed bounds"))
+}
+
+fn note(histogram: &mut Histogram<u64>, span: Duration) {
+    histogram.saturating_record((span.as_millis() as u64).clamp(1, MOST));
+}
+
+/// Reads a day's lines.
+pub fn figures(day: &Day, lines: &[Line], lasted: Duration) -> Figures {
+    let seconds = lasted.as_secs() as usize + 1;
+    let mut figures = Figures {
+        answered: histogram(),
+        delivered: histogram(),
+        handed: Vec::new(),
+        done: Vec::new(),
+        refused: Vec::new(),
+        in_flight: vec![Vec::new(); day.senders],
+        waits: Vec::new(),
+        partners: Vec::new(),
+    };
+    let mut counts = vec![[0u32; 3]; seconds];
+    let mut sent = vec![vec![0u32; seconds]; day.partners.len()];
+    let mut begun: HashMap<&str, Duration> = HashMap::new();
+    let mut out: Vec<BTreeMap<u64, ()>> = vec![BTreeMap::new(); day.senders];
+    let mut told: Vec<(Duration, i32)> = Vec::new();
+    for line in lines {
+        let second = (line.at.as_secs() as usize).min(seconds - 1);
+        let sender = line.sender.unwrap_or(0).min(day.senders - 1);
+        match &line.what {
+            What::Handed { id, .. } => {
+                counts[second][0] += 1;
+                begun.insert(id, line.at);
+            }
+            What::Answered { id, answer } => {
+                if let Some(&since) = begun.get(id.as_str()) {
+                    note(&mut figures.answered, line.at.saturating_sub(since));
+                }
+                counts[second][2] += u32::from(matches!(answer, Answer::Refused { .. }));
+            }
+            What::Called { connection, partner, ids, .. } => {
+                out[sender].insert(*connection, ());
+                figures.in_flight[sender].push((line.at.as_secs_f64(), out[sender].len() as f64));
+                if let Some(row) = sent.get_mut(*partner as usize) {
+                    row[second] += ids.len() as u32;
+                }
+            }
+            What::Replied { connection, fates, wait, .. } => {
+                out[sender].remove(connection);
+                figures.in_flight[sender].push((line.at.as_secs_f64(), out[sender].len() as f64));
+                for (id, _) in fates.iter().filter(|(_, f)| *f == Fate::Done) {
+                    counts[second][1] += 1;
+                    if let Some(&since) = begun.get(id.as_str()) {
+                        note(&mut figures.delivered, line.at.saturating_sub(since));
+                    }
+                }
+                if let Some(wait) = wait {
+                    told.extend([(line.at, 1), (line.at + *wait, -1)]);
+                }
+            }
+            What::Closed { connection } | What::Broke { connection, .. }
+                if out[sender].contains_key(connection) =>
+            {
+                out[sender].remove(connection);
+                figures.in_flight[sender].push((line.at.as_secs_f64(), out[sender].len() as f64));
+            }
+            _ => {}
+        }
+    }
+    let curve = |n: usize| counts.iter().enumerate().map(|(s, c)| (s as f64, f64::from(c[n]))).collect();
+    (figures.handed, figures.done, figures.refused) = (curve(0), curve(1), curve(2));
+    told.sort_unstable();
+    let mut open = 0;
+    for (at, change) in told {
+        open += change;
+        figures.waits.push((at.as_secs_f64(), f64::from(open)));
+    }
+    for (n, member) in day.partners.iter().enumerate() {
+        let partner = Partner::new(member.spec.clone(), member.faults.clone(), ChaCha8Rng::seed_from_u64(0));
+        let load = sent[n].iter().enumerate().map(|(s, c)| (s as f64, f64::from(*c))).collect();
+        let could = (0..seconds * 5)
+            .map(|k| (k as f64 / 5.0, partner.capacity(Duration::from_millis(k as u64 * 200))))
+            .collect();
+        figures.partners.push((member.name.clone(), load, could));
+    }
+    figures
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -6,6 +6,8 @@
 #![forbid(unsafe_code)]
 
 pub mod breakages;
+pub mod figures;
+pub mod out;
 pub mod report;
 mod senders;
 mod stage;
