--- a/crates/core/src/breakage.rs
+++ b/crates/core/src/breakage.rs
@@ -18,7 +18,7 @@
     DropsReports,
     /// Failures are hidden from the decisions: a partner that is back gets all that there is.
     FloodsCold,
-    /// Refusals are held back.
+    /// Answers are held back until the client has left.
     HoldsAnswers,
     /// A connection with bytes behind an answer is used again.
     ReusesSpoilt,
@@ -78,3 +78,9 @@
         false
     }
 }
+
+/// True for one call in so many, for breakages that show now and then.
+pub fn one_in(calls: u64) -> bool {
+    static CALLS: std::sync::atomic::AtomicU64 = std::sync::atomic::AtomicU64::new(0);
+    CALLS.fetch_add(1, std::sync::atomic::Ordering::Relaxed).is_multiple_of(calls)
+}
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -228,8 +228,9 @@
                 end.status,
                 Status::NoConnection | Status::TimedOut | Status::Refused | Status::Reset
             );
-            if breakage::is(Breakage::FloodsCold) && failed {
-                (end.status, end.told_wait) = (Status::NotSent, None);
+            let tries_on = breakage::is(Breakage::SeventhAttempt) && end.status == Status::Error;
+            if breakage::is(Breakage::FloodsCold) && failed || tries_on {
+                end.status = Status::NotSent;
             }
             let told = end.told_wait;
             let Some(held) = self.held.get_mut(&end.id) else {
--- a/crates/cranehill/src/cli.rs
+++ b/crates/cranehill/src/cli.rs
@@ -49,7 +49,7 @@
     },
     /// Play days against real senders on loopback and judge every rule; without a file, a short calm day.
     Rehearse {
-        /// Days (.toml), or scripts of pushes (.txt) against one sender and a stand-in push service.
+        /// Days (.toml) or folders of them, or scripts of pushes (.txt) against one sender and a stand-in push service.
         #[arg(value_name = "FILE")]
         files: Vec<PathBuf>,
         #[arg(long, default_value_t = 1)]
@@ -57,9 +57,15 @@
         /// Play each day so often, with one seed after the other.
         #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..))]
         repeat: u64,
+        /// Play so many days at once.
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u16).range(1..=64))]
+        jobs: u16,
         /// So many senders, whatever the day says.
         #[arg(long)]
         senders: Option<usize>,
+        /// Hand in at this sender, which runs already, and start none: what can be judged there is.
+        #[arg(long, value_name = "ADDRESS", conflicts_with_all = ["senders", "breakages"])]
+        against: Option<std::net::SocketAddr>,
         /// Write each day's report there: JSON, every event as Parquet, and a page with plots.
         #[arg(long, value_name = "DIR")]
         out: Option<PathBuf>,
@@ -109,10 +115,11 @@
             Ok(())
         }
         Command::ImportNginx { file } => import_nginx(&file),
-        Command::Rehearse { files, seed, repeat, senders, out, breakages } => {
+        Command::Rehearse { files, seed, repeat, jobs, senders, against, out, breakages } => {
+            let order = rehearse::Order { files, seed, repeat, jobs: jobs.into(), senders, against, out };
             let played = match &breakages {
-                Some(program) => rehearse::breakages(program, seed),
-                None => rehearse::all(&files, seed, repeat, senders, out.as_deref()),
+                Some(program) => rehearse::breakages(program, &order),
+                None => rehearse::all(&order),
             };
             match played {
                 Ok(true) => Ok(()),
--- a/crates/daemon/src/reactor/door.rs
+++ b/crates/daemon/src/reactor/door.rs
@@ -127,10 +127,10 @@
     }
 
     pub(super) fn answer(&mut self, id: usize, bytes: Vec<u8>) {
-        if breakage::is(Breakage::HoldsAnswers) && bytes.starts_with(b"-BUSY") {
+        if breakage::is(Breakage::HoldsAnswers) {
             return;
         }
-        if breakage::is(Breakage::ClosesClients) && id.is_multiple_of(5) {
+        if breakage::is(Breakage::ClosesClients) && breakage::one_in(3) {
             self.drop_link(id);
             return;
         }
