--- a/crates/cranehill/src/cli.rs
+++ b/crates/cranehill/src/cli.rs
@@ -64,8 +64,14 @@
         #[arg(long)]
         senders: Option<usize>,
         /// Hand in at this sender, which runs already, and start none: what can be judged there is.
-        #[arg(long, value_name = "ADDRESS", conflicts_with_all = ["senders", "breakages"])]
+        #[arg(long, value_name = "ADDRESS", requires = "directory", conflicts_with_all = ["senders", "breakages", "repeat", "jobs"])]
         against: Option<std::net::SocketAddr>,
+        /// Where that sender asks for its list of endpoints: the rehearsal answers there.
+        #[arg(long, value_name = "ADDRESS")]
+        directory: Option<std::net::SocketAddr>,
+        /// Write the configuration with which such a sender fits the day, and play nothing.
+        #[arg(long, value_name = "FILE", requires = "directory")]
+        write_config: Option<PathBuf>,
         /// Write each day's report there: JSON, every event as Parquet, and a page with plots.
         #[arg(long, value_name = "DIR")]
         out: Option<PathBuf>,
@@ -115,8 +121,21 @@
             Ok(())
         }
         Command::ImportNginx { file } => import_nginx(&file),
-        Command::Rehearse { files, seed, repeat, jobs, senders, against, out, breakages } => {
-            let order = rehearse::Order { files, seed, repeat, jobs: jobs.into(), senders, against, out };
+        Command::Rehearse {
+            files,
+            seed,
+            repeat,
+            jobs,
+            senders,
+            against,
+            directory,
+            write_config,
+            out,
+            breakages,
+        } => {
+            let jobs = jobs.into();
+            let order =
+                rehearse::Order { files, seed, repeat, jobs, senders, against, directory, write_config, out };
             let played = match &breakages {
                 Some(program) => rehearse::breakages(program, &order),
                 None => rehearse::all(&order),
--- a/crates/cranehill/src/rehearse.rs
+++ b/crates/cranehill/src/rehearse.rs
@@ -10,7 +10,7 @@
 
 use cranehill_model::day;
 use cranehill_rehearsal::breakages::CASES;
-use cranehill_rehearsal::{Limits, Outcome, Plan, out, play, report};
+use cranehill_rehearsal::{Against, Limits, Outcome, Plan, node_config, out, play, report};
 use indicatif::{ProgressBar, ProgressStyle};
 
 use crate::rehearsal;
@@ -28,8 +28,11 @@
     /// Days at once.
     pub jobs: usize,
     pub senders: Option<usize>,
-    /// A sender that runs already.
+    /// A sender that runs already, and the directory that it asks.
     pub against: Option<SocketAddr>,
+    pub directory: Option<SocketAddr>,
+    /// Write the configuration of such a sender there, and play nothing.
+    pub write_config: Option<PathBuf>,
     /// Where reports go.
     pub out: Option<PathBuf>,
 }
@@ -76,6 +79,13 @@
             plans.push(plan(CALM, seed, order)?);
         }
     }
+    if let (Some(path), Some(directory)) = (&order.write_config, order.directory) {
+        let [plan] = plans.as_slice() else { return Err("--write-config is for one day".into()) };
+        let config = node_config(plan, directory);
+        std::fs::write(path, config).map_err(|e| format!("{}: {e}", path.display()))?;
+        println!("{}: for a sender that asks the directory at {directory}", path.display());
+        return Ok(true);
+    }
     let (mut holds, mut unclear) = (true, 0);
     for script in &scripts {
         let report = rehearsal::play(script)?;
@@ -172,8 +182,24 @@
         }
         day.senders = count;
     }
+    let mut against = None;
+    if let (Some(clients), Some(directory)) = (order.against, order.directory) {
+        for (what, address) in [("--against", clients), ("--directory", directory)] {
+            if !address.ip().is_loopback() {
+                return Err(format!("{what} {address}: only on this machine (127.0.0.0/8)"));
+            }
+        }
+        if !day.signals.is_empty() {
+            return Err("the day ends or kills senders, which --against does not: drop its [[signal]]".into());
+        }
+        if day.load.push.is_some() {
+            return Err("the day has push services, which a sender can't be told of while it runs".into());
+        }
+        day.senders = 1;
+        against = Some(Against { clients, directory });
+    }
     let program = std::env::current_exe().map_err(|e| format!("this program's own file: {e}"))?;
-    Ok(Plan { day, seed, program, limits: Limits::default(), breakage: None })
+    Ok(Plan { day, seed, program, limits: Limits::default(), breakage: None, against })
 }
 
 /// Plays each breakage of `broken` on its day: false if one is not caught by its rule, or if this program breaks a rule on
--- a/crates/model/src/audit/copies.rs
+++ b/crates/model/src/audit/copies.rs
@@ -30,7 +30,7 @@
 
     pub(super) fn hear(&mut self, line: &Line, figures: &Figures, findings: &mut Findings) {
         match &line.what {
-            What::Handed { id, class, .. } => {
+            What::Handed { id, class, .. } | What::Posted { id, class, .. } => {
                 self.notices.entry(id.clone()).or_default().class = Some(*class);
             }
             What::Called { connection, partner, ids, .. } => {
--- a/crates/model/src/audit/ends.rs
+++ b/crates/model/src/audit/ends.rs
@@ -13,6 +13,8 @@
     handed_wire: String,
     lasts: Duration,
     taken: Option<Duration>,
+    /// Over Web Push, where the answer is the end.
+    posted: bool,
     answered: bool,
     /// The first 200 that was written for it.
     delivered: Option<(Duration, String)>,
@@ -35,9 +37,19 @@
                 (notice.handed, notice.handed_late, notice.lasts) = (line.at, line.late, *lasts);
                 notice.handed_wire = line.wire.clone();
             }
+            What::Posted { id, lasts, .. } => {
+                let notice = self.notices.entry(id.clone()).or_default();
+                notice.sender = line.sender;
+                (notice.handed, notice.handed_late, notice.lasts) = (line.at, line.late, *lasts);
+                notice.handed_wire = line.wire.clone();
+                (notice.posted, notice.taken) = (true, Some(line.at));
+            }
             What::Answered { id, answer } => {
                 let Some(notice) = self.notices.get_mut(id) else { return };
                 notice.answered = true;
+                if notice.posted {
+                    return self.post_answered(id, answer, line, findings);
+                }
                 let over = line.at.saturating_sub(notice.handed).checked_sub(figures.patience);
                 let over = over.filter(|o| !o.is_zero());
                 let late = line.late + notice.handed_late;
@@ -50,7 +62,12 @@
             }
             What::Dropped { id } => {
                 let excused = line.sender.is_some_and(|s| self.is_excused(s, line.at));
-                let Some(notice) = self.notices.get(id).filter(|n| !n.answered && !excused) else { return };
+                let Some(notice) = self.notices.get_mut(id).filter(|n| !n.answered) else { return };
+                // Whoever posted knows that nothing more will come.
+                notice.answered = notice.posted;
+                if excused {
+                    return;
+                }
                 let wire = vec![notice.handed_wire.clone(), line.wire.clone()];
                 findings.broken(breach(Rule::Answers, id, line.at, "closed without an answer".into(), wire));
             }
@@ -124,6 +141,32 @@
         self.in_time(id, line, findings);
     }
 
+    /// The one answer to a post: true to what the push service wrote, and in time.
+    fn post_answered(&self, id: &str, answer: &Answer, line: &Line, findings: &mut Findings) {
+        let Some(notice) = self.notices.get(id) else { return };
+        let wire = |proof: Option<&String>| {
+            let mut wire = vec![notice.handed_wire.clone(), line.wire.clone()];
+            wire.extend(proof.cloned());
+            wire
+        };
+        match (answer, &notice.delivered) {
+            (Answer::Delivered | Answer::TakenOn, None) => {
+                let why = "answered as delivered, and no push service took it".into();
+                findings.broken(breach(Rule::OneEnd, id, line.at, why, wire(None)));
+            }
+            (Answer::Refused { .. } | Answer::Error, Some((_, proof))) => {
+                let why = "answered as never run, and it had been delivered".into();
+                findings.broken(breach(Rule::OneEnd, id, line.at, why, wire(Some(proof))));
+            }
+            _ => findings.kept(Rule::Answers),
+        }
+        let due = notice.handed + notice.lasts + Figures::default().overdue;
+        let over = line.at.checked_sub(due).filter(|o| !o.is_zero());
+        let why = format!("answered {} ms after its time", over.unwrap_or_default().as_millis());
+        let late = line.late + notice.handed_late;
+        findings.judge(over, late, || breach(Rule::InTime, id, line.at, why, wire(None)), Rule::InTime);
+    }
+
     fn in_time(&self, id: &str, line: &Line, findings: &mut Findings) {
         let Some(notice) = self.notices.get(id) else { return };
         let due = notice.handed + notice.lasts + Figures::default().overdue;
@@ -164,14 +207,21 @@
         let notices = std::mem::take(&mut self.notices);
         for (id, notice) in &notices {
             let Some(taken) = notice.taken else { continue };
-            if notice.delivered.is_some() || notice.closing.is_some() {
+            let ended = if notice.posted {
+                notice.answered
+            } else {
+                notice.delivered.is_some() || notice.closing.is_some()
+            };
+            if ended {
                 findings.kept(Rule::OneEnd);
                 continue;
             }
             let due = notice.handed + notice.lasts + figures.overdue;
             // A day that ends before its time says nothing about it.
             let over = end.checked_sub(due).filter(|o| !o.is_zero());
-            let why = format!("taken on at {:.3} s, and neither delivered nor reported", taken.as_secs_f64());
+            let what = if notice.posted { "posted" } else { "taken on" };
+            let lacks = if notice.posted { "never answered" } else { "neither delivered nor reported" };
+            let why = format!("{what} at {:.3} s, and {lacks}", taken.as_secs_f64());
             let wire = vec![notice.handed_wire.clone()];
             if over.is_some() {
                 findings.judge(over, late, || breach(Rule::OneEnd, id, end, why, wire), Rule::OneEnd);
--- a/crates/model/src/audit/mod.rs
+++ b/crates/model/src/audit/mod.rs
@@ -74,7 +74,13 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Answer {
     TakenOn,
-    Refused { after: Option<Duration> },
+    /// Web Push: the one answer says that the service has it.
+    Delivered,
+    Refused {
+        after: Option<Duration>,
+    },
+    /// Web Push: given up, and it may have run.
+    Failed,
     Error,
 }
 
@@ -111,6 +117,13 @@
         partner: u64,
         lasts: Duration,
     },
+    /// The last byte of a Web Push post was written: its one answer is its end.
+    Posted {
+        id: String,
+        class: usize,
+        partner: u64,
+        lasts: Duration,
+    },
     Answered {
         id: String,
         answer: Answer,
--- a/crates/model/src/clients.rs
+++ b/crates/model/src/clients.rs
@@ -39,6 +39,8 @@
     pub weight: f64,
     /// Notices a second that it takes: a clump is as many as it takes in some seconds.
     pub takes: f64,
+    /// Reached over Web Push.
+    pub push: bool,
 }
 
 /// While it lasts, these partners draw a further share of all notices.
@@ -59,6 +61,8 @@
     pub stations: Vec<f64>,
     pub targets: Vec<Target>,
     pub classes: Vec<Class>,
+    /// The class of posts without a topic, which the one with a topic follows. Each has half of the posts.
+    pub push: Option<usize>,
     /// Share of the notices that come in clumps, and a clump's size in seconds of what the partner takes.
     pub clumps: f64,
     pub clump: (f64, f64),
@@ -317,7 +321,10 @@
 
     fn first(&mut self, at: Duration, target: usize) -> Option<(Duration, Handing)> {
         let shares: Vec<f64> = self.load.classes.iter().map(|c| c.share).collect();
-        let class = pick(&mut self.rng, &shares);
+        let class = match self.load.push.filter(|_| self.load.targets[target].push) {
+            Some(first) => first + usize::from(self.rng.random_bool(0.5)),
+            None => pick(&mut self.rng, &shares),
+        };
         let (least, most) = self.load.body;
         let body = if most > least { self.rng.random_range(least..=most) } else { least };
         let key = self.load.classes[class].keyed.then(|| format!("{:016x}", self.rng.random::<u64>()));
--- a/crates/model/src/day.rs
+++ b/crates/model/src/day.rs
@@ -236,6 +236,9 @@
     reports: Option<Span>,
     #[serde(default)]
     weight: Option<f64>,
+    /// A push service: posts for it come over Web Push, and the directory does not know it.
+    #[serde(default)]
+    push: Option<Spanned<bool>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -342,6 +345,8 @@
     pub kind: String,
     pub station: usize,
     pub spec: Spec,
+    /// A push service behind the second front, unknown to the directory.
+    pub push: bool,
     /// By endpoint.
     pub faults: Vec<Vec<Fault>>,
 }
@@ -403,20 +408,29 @@
         return Err(reader.error(&file.senders, "a day has 1 to 64 senders"));
     }
     let stations = stations(&file);
-    let (classes, load_classes) = classes(&reader, &file)?;
+    let (mut classes, mut load_classes) = classes(&reader, &file)?;
     let mut partners = members(&reader, &file, &stations)?;
+    let push = partners.iter().any(|m| m.push).then_some(classes.len());
+    if push.is_some() {
+        // What the second front makes of posts: one without a topic must not be shown twice.
+        let usual = clients::Class { keyed: false, share: 0.0, ..load_classes[0].clone() };
+        classes.push(("push".into(), Effect::Unsafe));
+        classes.push(("push-topic".into(), Effect::Safe));
+        load_classes.extend([usual.clone(), usual]);
+    }
     let total: usize = partners.iter().map(|m| m.spec.endpoints).sum();
     if total > ENDPOINTS_MOST {
         return Err(DayError { line: 1, why: format!("{total} endpoints; {ENDPOINTS_MOST} at most") });
     }
     let mut kinds: Vec<String> = Vec::new();
     for member in &partners {
-        if !kinds.contains(&member.kind) {
+        if !member.push && !kinds.contains(&member.kind) {
             kinds.push(member.kind.clone());
         }
     }
     faults(&reader, &file, &mut partners, &mut rng)?;
-    let load = load(&reader, &file, &partners, stations.len(), load_classes, lasts)?;
+    let mut load = load(&reader, &file, &partners, stations.len(), load_classes, lasts)?;
+    load.push = push;
     let changes = changes(&reader, &file, &partners)?;
     let mut signals = Vec::new();
     for signal in &file.signal {
@@ -537,6 +551,12 @@
             reports: partner.reports.map(|r| r.0),
             back: set.back,
         };
+        let push = partner.push.as_ref().is_some_and(|p| *p.get_ref());
+        if let Some(at) = partner.push.as_ref().filter(|_| push && (spec.batch > 1 || !spec.shared)) {
+            return Err(
+                reader.error(at, "a push service takes no batches, and its endpoints share its limit")
+            );
+        }
         let count = partner.count.as_ref().map_or(1, |c| *c.get_ref());
         if let Some(at) = partner.count.as_ref().filter(|_| !(1..=ENDPOINTS_MOST).contains(&count)) {
             return Err(reader.error(at, format!("count is from 1 to {ENDPOINTS_MOST}")));
@@ -549,7 +569,11 @@
             }
             members.push(Member {
                 name,
-                kind: partner.kind.as_ref().map_or_else(|| "station".into(), |k| k.get_ref().clone()),
+                kind: partner
+                    .kind
+                    .as_ref()
+                    .map_or_else(|| if push { "push" } else { "station" }.into(), |k| k.get_ref().clone()),
+                push,
                 station,
                 spec: spec.clone(),
                 faults: vec![Vec::new(); endpoints],
@@ -674,6 +698,7 @@
         station: m.station,
         weight: weights[n],
         takes: takes(m),
+        push: m.push,
     });
     let mut hot = Vec::new();
     for one in &file.hot {
@@ -695,6 +720,7 @@
         stations: stations_shares(file),
         targets: targets.collect(),
         classes,
+        push: None,
         clumps: clumps.unwrap_or(0.1),
         clump: (clump.0.0.as_secs_f64(), clump.1.0.as_secs_f64()),
         hot,
@@ -724,6 +750,9 @@
         let number: usize = number.parse().map_err(|_| wrong())?;
         let partner = partners.iter().position(|m| m.name == name);
         let partner = partner.filter(|&p| number < partners[p].spec.endpoints).ok_or_else(wrong)?;
+        if partners[partner].push {
+            return Err(reader.error(&change.endpoint, "a push service is not in the directory's list"));
+        }
         let to = match change.to.get_ref().as_str() {
             "up" => To::Up,
             "draining" => To::Draining,
--- a/crates/model/tests/laws.rs
+++ b/crates/model/tests/laws.rs
@@ -170,7 +170,13 @@
         rate: 30.0,
         stations: vec![0.35, 0.34, 0.31],
         targets: (0..6)
-            .map(|n| Target { partner: n, station: n as usize % 3, weight: weights[n as usize], takes: 4.0 })
+            .map(|n| Target {
+                partner: n,
+                station: n as usize % 3,
+                weight: weights[n as usize],
+                takes: 4.0,
+                push: false,
+            })
             .collect(),
         classes: vec![Class { aim: ms(4000), lasts: ms(20_000), keyed: true, share: 1.0, late_share: 0.4 }],
         clumps: 0.12,
--- a/crates/rehearsal/src/figures.rs
+++ b/crates/rehearsal/src/figures.rs
@@ -65,7 +65,7 @@
         let second = (line.at.as_secs() as usize).min(seconds - 1);
         let sender = line.sender.unwrap_or(0).min(day.senders - 1);
         match &line.what {
-            What::Handed { id, .. } => {
+            What::Handed { id, .. } | What::Posted { id, .. } => {
                 counts[second][0] += 1;
                 begun.insert(id, line.at);
             }
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -13,6 +13,7 @@
 mod stage;
 mod wire;
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -27,6 +28,11 @@
 pub enum RunError {
     #[error("{program}: {source}: is it built?")]
     Sender { program: PathBuf, source: std::io::Error },
+    #[error(
+        "the sender at {clients} did not ask {directory} for its list in 30 s: its configuration must name that directory \
+         (--write-config writes one that fits the day)"
+    )]
+    NotAsked { clients: SocketAddr, directory: SocketAddr },
     #[error("sender {sender} did not start: {why}")]
     NotReady { sender: usize, why: String },
     #[error("sockets: {0}")]
@@ -43,6 +49,23 @@
     pub limits: Limits,
     /// For builds that have some: the breakage to play.
     pub breakage: Option<String>,
+    /// In place of starting any: a sender that runs already.
+    pub against: Option<Against>,
+}
+
+/// A sender that was started by somebody else, on this machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Against {
+    /// Where it listens for clients.
+    pub clients: SocketAddr,
+    /// Where it asks for its list of endpoints, and sends its closing reports.
+    pub directory: SocketAddr,
+}
+
+/// The configuration that a sender needs for a day if it is started by somebody else.
+pub fn node_config(plan: &Plan, directory: SocketAddr) -> String {
+    let config = senders::configuration(&plan.day, 0, directory, &serde_json::Value::Null, plan.limits);
+    format!("{config:#}\n")
 }
 
 /// What a day came to.
--- a/crates/rehearsal/src/out.rs
+++ b/crates/rehearsal/src/out.rs
@@ -78,6 +78,7 @@
     let one = |ids: &[String]| Some(ids.join(" ")).filter(|i| !i.is_empty());
     match what {
         What::Handed { id, partner, .. } => ("handed", Some(id.clone()), Some(*partner), None, None),
+        What::Posted { id, partner, .. } => ("posted", Some(id.clone()), Some(*partner), None, None),
         What::Answered { id, .. } => ("answered", Some(id.clone()), None, None, None),
         What::Dropped { id } => ("dropped", Some(id.clone()), None, None, None),
         What::Abandoned { id } => ("abandoned", Some(id.clone()), None, None, None),
--- a/crates/rehearsal/src/senders.rs
+++ b/crates/rehearsal/src/senders.rs
@@ -20,6 +20,8 @@
 pub enum Heard {
     /// It listens for clients there.
     Ready(usize, SocketAddr),
+    /// It listens for Web Push there.
+    Pushes(usize, SocketAddr),
     /// A line of its log that warns.
     Warned(usize, String),
     /// Its log has ended.
@@ -47,21 +49,37 @@
     program: PathBuf,
     folder: PathBuf,
     child: Option<Child>,
+    /// Speaks Web Push too.
+    push: bool,
     pub address: Option<SocketAddr>,
+    pub pushes: Option<SocketAddr>,
 }
 
 impl Process {
     pub fn new(index: usize, program: &Path, folder: &Path) -> Process {
         let folder = folder.join(format!("sender-{index}"));
-        Process { index, program: program.to_owned(), folder, child: None, address: None }
+        Process {
+            index,
+            program: program.to_owned(),
+            folder,
+            child: None,
+            push: false,
+            address: None,
+            pushes: None,
+        }
     }
 
-    /// Writes its configuration; a breakage is for builds that have some.
-    pub fn configure(&self, config: &Value) -> std::io::Result<()> {
+    /// Writes its configuration, and the file of its second front if it has one.
+    pub fn configure(&mut self, config: &Value, push: Option<&str>) -> std::io::Result<()> {
         std::fs::create_dir_all(&self.folder)?;
+        if let Some(push) = push {
+            self.push = true;
+            std::fs::write(self.folder.join("webpush.toml"), push)?;
+        }
         std::fs::write(self.folder.join("config.json"), config.to_string())
     }
 
+    /// Starts it; a breakage is for builds that have some.
     pub fn start(
         &mut self,
         heard: Channel<Heard>,
@@ -80,6 +98,9 @@
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(Stdio::piped());
+        if self.push {
+            command.arg("--webpush").arg(self.folder.join("webpush.toml"));
+        }
         if let Some(breakage) = breakage {
             command.env("CRANEHILL_BREAK", breakage);
         }
@@ -88,11 +109,14 @@
             let index = self.index;
             thread::spawn(move || {
                 for line in BufReader::new(stderr).lines().map_while(Result::ok) {
-                    let ready = line
-                        .split_once("listening for clients at ")
-                        .and_then(|(_, a)| a.split_whitespace().next()?.parse().ok());
-                    let said = match ready {
-                        Some(address) => Heard::Ready(index, address),
+                    let listens = |what: &str| -> Option<SocketAddr> {
+                        line.split_once(what)?.1.split_whitespace().next()?.parse().ok()
+                    };
+                    let ready = listens("listening for clients at ").map(|a| Heard::Ready(index, a));
+                    let said = match ready
+                        .or_else(|| listens("listening for Web Push at ").map(|a| Heard::Pushes(index, a)))
+                    {
+                        Some(heard) => heard,
                         None if line.contains("WARN")
                             || line.contains("ERROR")
                             || line.contains("panicked") =>
@@ -113,12 +137,17 @@
         Ok(())
     }
 
+    /// Both fronts are open, as far as it has them.
+    pub fn is_ready(&self) -> bool {
+        self.address.is_some() && (self.pushes.is_some() || !self.push)
+    }
+
     /// Whether its process is there still.
     pub fn is_running(&mut self) -> bool {
         let ended = self.child.as_mut().is_none_or(|c| !matches!(c.try_wait(), Ok(None)));
         if ended {
             self.child = None;
-            self.address = None;
+            (self.address, self.pushes) = (None, None);
         }
         !ended
     }
@@ -128,7 +157,7 @@
             let _ = child.kill();
             let _ = child.wait();
         }
-        self.address = None;
+        (self.address, self.pushes) = (None, None);
     }
 
     /// Sends a signal by its name.
@@ -148,10 +177,13 @@
 /// The configuration of one sender: `list` is the directory's list with the addresses that it is to use.
 pub fn configuration(day: &Day, index: usize, discovery: SocketAddr, list: &Value, limits: Limits) -> Value {
     let nanos = |d: Duration| d.as_nanos() as u64;
+    // The second front brings its own classes.
+    let known = day.load.push.unwrap_or(day.classes.len());
     let classes: Vec<Value> = day
         .classes
         .iter()
         .zip(&day.load.classes)
+        .take(known)
         .map(|((name, effect), class)| {
             let (effect, window) = match effect {
                 Effect::Safe => ("safe", class.lasts),
@@ -200,6 +232,24 @@
     })
 }
 
+/// The second front of one sender: its push services by their addresses; `None` if the day has none.
+pub fn push_file(day: &Day, services: &[(usize, Vec<SocketAddr>)]) -> Option<String> {
+    if services.is_empty() {
+        return None;
+    }
+    let mut text = String::from("listen = \"127.0.0.1:0\"\n");
+    for (partner, addresses) in services {
+        let member = &day.partners[*partner];
+        text.push_str(&format!("[[upstream]]\nname = \"p{partner}\"\nrate = {:?}\n", rough_rate(member)));
+        for address in addresses {
+            text.push_str(&format!("[[upstream.server]]\naddress = \"{address}\"\n"));
+        }
+        let path = crate::wire::push_path(*partner as u64);
+        text.push_str(&format!("[[location]]\npath = \"{path}\"\nupstream = \"p{partner}\"\n"));
+    }
+    Some(text)
+}
+
 fn of_kind<'a>(day: &'a Day, kind: &'a str) -> impl Iterator<Item = &'a Member> {
     day.partners.iter().filter(move |m| m.kind == kind)
 }
--- a/crates/rehearsal/src/stage.rs
+++ b/crates/rehearsal/src/stage.rs
@@ -22,7 +22,7 @@
 use serde_json::{Value, json};
 use socket2::SockRef;
 
-use crate::senders::{Heard, Process, configuration, rough_rate};
+use crate::senders::{Heard, Process, configuration, push_file, rough_rate};
 use crate::wire::{self, Request};
 use crate::{Outcome, Plan, RunError};
 
@@ -34,6 +34,8 @@
 const BACK_AFTER: Duration = Duration::from_millis(600);
 /// The front goes on for so long to send connections to a sender that was told to end.
 const FRONT: Duration = Duration::from_millis(300);
+/// A poster waits for so long beyond its message's time: nothing later is the sender's one answer.
+const POSTER: Duration = Duration::from_secs(1);
 /// What a poll returns sooner than this had been waiting for us.
 const AT_ONCE: Duration = Duration::from_micros(50);
 /// Bytes of the wire that a line keeps.
@@ -41,9 +43,22 @@
 
 #[derive(Debug)]
 enum Role {
-    Partner { endpoint: usize, audited: usize, id: u64, begun: bool, out: Option<Out> },
-    Directory { held: Option<(u64, Duration, Duration)> },
-    Client { busy: Option<Handing>, used: bool, bytes: Vec<u8> },
+    Partner {
+        endpoint: usize,
+        audited: usize,
+        id: u64,
+        begun: bool,
+        out: Option<Out>,
+    },
+    Directory {
+        held: Option<(u64, Duration, Duration)>,
+    },
+    /// Over the first front, or over Web Push.
+    Client {
+        busy: Option<Handing>,
+        used: bool,
+        push: bool,
+    },
 }
 
 #[derive(Debug)]
@@ -132,7 +147,8 @@
     heard: (Channel<Heard>, Receiver<Heard>),
     waker: Arc<Waker>,
     links: HashMap<usize, Link>,
-    idle: Vec<Vec<usize>>,
+    /// Kept connections of clients, by sender, and those of posters.
+    idle: Vec<[Vec<usize>; 2]>,
     next_link: usize,
     next_serial: u64,
     next_audited: usize,
@@ -147,7 +163,7 @@
     next_sender: usize,
     expected_end: Vec<bool>,
     outcome: Outcome,
-    breakage: Option<String>,
+    plan: &'a Plan,
 }
 
 /// Plays a day; `progress` hears of the time that has passed, and of how long the day may last.
@@ -190,6 +206,7 @@
             root.clone()
         };
         let (mut doors, mut places, mut partners) = (Vec::new(), Vec::new(), Vec::new());
+        let mut services = vec![Vec::new(); day.senders];
         for (n, member) in day.partners.iter().enumerate() {
             partners.push(Partner::new(member.spec.clone(), member.faults.clone(), stream(n as u64)));
             for number in 0..member.spec.endpoints {
@@ -200,11 +217,21 @@
                     doors.push((listener, Door::Endpoint { sender, endpoint }));
                     addresses.push(address);
                 }
+                if member.push {
+                    for (sender, &address) in addresses.iter().enumerate() {
+                        let listed: &mut Vec<(usize, Vec<SocketAddr>)> = &mut services[sender];
+                        match listed.last_mut().filter(|l| l.0 == n) {
+                            Some(last) => last.1.push(address),
+                            None => listed.push((n, vec![address])),
+                        }
+                    }
+                }
                 let id = format!("s-{endpoint:08x}");
                 places.push(Place { partner: n, number, id, audited: endpoint, addresses });
             }
         }
-        let rows = places.iter().enumerate().map(|(endpoint, p)| Row {
+        let listed = places.iter().enumerate().filter(|(_, p)| !day.partners[p.partner].push);
+        let rows = listed.map(|(endpoint, p)| Row {
             id: p.id.clone(),
             endpoint,
             partner: p.partner as u64,
@@ -229,7 +256,7 @@
             heard: channel(),
             waker,
             links: HashMap::new(),
-            idle: vec![Vec::new(); day.senders],
+            idle: vec![Default::default(); day.senders],
             next_link: 0,
             next_serial: 0,
             replies: HashMap::new(),
@@ -254,14 +281,21 @@
                 late: (Duration::ZERO, Duration::ZERO),
                 lasted: Duration::ZERO,
             },
-            breakage: plan.breakage.clone(),
+            plan,
         };
         for sender in 0..day.senders {
-            let (listener, address) = listener(sender, 2)?;
+            let (listener, address) = match &plan.against {
+                Some(against) => (TcpListener::bind(against.directory)?, against.directory),
+                None => listener(sender, 2)?,
+            };
             stage.doors.push((listener, Door::Directory { sender }));
             let whole = stage.directory.whole(Duration::ZERO, sender);
             let list = whole.map_or(Value::Null, |l| stage.list_json(&l, sender));
-            stage.senders[sender].configure(&configuration(day, sender, address, &list, plan.limits))?;
+            if plan.against.is_none() {
+                let config = configuration(day, sender, address, &list, plan.limits);
+                let push = push_file(day, &services[sender]);
+                stage.senders[sender].configure(&config, push.as_deref())?;
+            }
         }
         stage.next_link = stage.doors.len();
         for (n, (listener, _)) in stage.doors.iter_mut().enumerate() {
@@ -275,16 +309,32 @@
 
     fn start(&mut self, sender: usize) -> Result<(), RunError> {
         self.expected_end[sender] = false;
-        self.senders[sender].start(self.heard.0.clone(), self.waker.clone(), self.breakage.as_deref())
+        if let Some(against) = &self.plan.against {
+            self.senders[sender].address = Some(against.clients);
+            self.routed[sender] = true;
+            return Ok(());
+        }
+        self.senders[sender].start(self.heard.0.clone(), self.waker.clone(), self.plan.breakage.as_deref())
     }
 
     /// Nothing of the day begins before all senders are ready.
     fn wait_ready(&mut self) -> Result<(), RunError> {
         let since = Instant::now();
         let mut events = Events::with_capacity(256);
-        while self.senders.iter().any(|s| s.address.is_none()) {
+        loop {
+            // One that runs already has been told of our partners once it has asked for them.
+            let asked = self.plan.against.is_none() || !self.told[0].is_empty();
+            if asked && self.senders.iter().all(Process::is_ready) {
+                break;
+            }
             if since.elapsed() > READY {
-                let sender = self.senders.iter().position(|s| s.address.is_none()).unwrap_or(0);
+                if let Some(against) = &self.plan.against {
+                    return Err(RunError::NotAsked {
+                        clients: against.clients,
+                        directory: against.directory,
+                    });
+                }
+                let sender = self.senders.iter().position(|s| !s.is_ready()).unwrap_or(0);
                 return Err(RunError::NotReady { sender, why: format!("no word in {} s", READY.as_secs()) });
             }
             self.wait(&mut events, Some(Duration::from_millis(20)))?;
@@ -394,8 +444,11 @@
             match heard {
                 Heard::Ready(sender, address) => {
                     self.senders[sender].address = Some(address);
-                    self.routed[sender] = true;
-                    self.record(Some(sender), What::Ready, &format!("listens at {address}"));
+                    self.ready(sender, address);
+                }
+                Heard::Pushes(sender, address) => {
+                    self.senders[sender].pushes = Some(address);
+                    self.ready(sender, address);
                 }
                 Heard::Warned(sender, line) => {
                     let text = line.split_once("] ").map_or(line.as_str(), |(_, t)| t).to_owned();
@@ -420,6 +473,14 @@
         Ok(())
     }
 
+    /// A front of it is open; with the last one it takes work.
+    fn ready(&mut self, sender: usize, address: SocketAddr) {
+        if self.senders[sender].is_ready() {
+            self.routed[sender] = true;
+            self.record(Some(sender), What::Ready, &format!("listens at {address}"));
+        }
+    }
+
     fn on_timer(&mut self, timer: Timer) -> Result<(), RunError> {
         match timer {
             Timer::HandIn => {
@@ -473,26 +534,37 @@
         let count = self.senders.len();
         let chosen = (0..count).map(|n| (self.next_sender + n) % count).find(|&s| self.routed[s]);
         self.next_sender = (self.next_sender + 1) % count;
-        let link = chosen.and_then(|s| self.client_link(s));
+        let push = self.day.partners.get(handing.partner as usize).is_some_and(|m| m.push);
+        let link = chosen.and_then(|s| self.client_link(s, push));
         let Some(link) = link else {
             // Nobody there: the client tries again as after a time-out.
             let at = self.now() + self.day.load.patience;
             return self.at(at, Timer::Lost { id: handing.id });
         };
-        let class = &self.day.classes[handing.class].0;
-        let bytes = wire::put(&handing, class, &self.day.stations[handing.station]);
-        let (id, patience) = (handing.id.clone(), self.now() + self.day.load.patience);
-        let what = What::Handed {
-            id: id.clone(),
-            class: handing.class,
-            partner: handing.partner,
-            lasts: handing.lasts,
+        let class = &self.day.classes[handing.class];
+        let (id, partner, number) = (handing.id.clone(), handing.partner, handing.class);
+        let (bytes, patience, what, line) = if push {
+            let lasts = Duration::from_secs(handing.lasts.as_secs().max(1));
+            let topic = class.1 == Effect::Safe;
+            let line = format!("POST {}{id} TTL {} topic {topic}", wire::push_path(partner), lasts.as_secs());
+            let what = What::Posted { id: id.clone(), class: number, partner, lasts };
+            (wire::post(&handing, lasts, topic), lasts + POSTER, what, line)
+        } else {
+            let lasts = handing.lasts;
+            let line = format!("MSG.PUT {id} {} dest={partner} d={}", class.0, lasts.as_millis());
+            let what = What::Handed { id: id.clone(), class: number, partner, lasts };
+            let bytes = wire::put(&handing, &class.0, &self.day.stations[handing.station]);
+            (bytes, self.day.load.patience, what, line)
         };
-        let line = format!("MSG.PUT {id} {class} dest={} d={}", handing.partner, handing.lasts.as_millis());
+        let patience = self.now() + patience;
+        if push {
+            // Its end is the answer: the day waits for it.
+            self.pending.insert(id.clone());
+        }
         if let Some(found) = self.links.get_mut(&link) {
             found.output.extend_from_slice(&bytes);
-            if let Role::Client { busy, bytes: kept, .. } = &mut found.role {
-                (*busy, *kept) = (Some(handing), bytes);
+            if let Role::Client { busy, .. } = &mut found.role {
+                *busy = Some(handing);
             }
             let sender = found.sender;
             self.record(Some(sender), what, &line);
@@ -501,32 +573,49 @@
         self.at(patience, Timer::Patience { link, id });
     }
 
-    fn client_link(&mut self, sender: usize) -> Option<usize> {
-        while let Some(link) = self.idle[sender].pop() {
+    fn client_link(&mut self, sender: usize, push: bool) -> Option<usize> {
+        while let Some(link) = self.idle[sender][usize::from(push)].pop() {
             if self.links.contains_key(&link) {
                 return Some(link);
             }
         }
-        let stream = TcpStream::connect(self.senders[sender].address?).ok()?;
-        let role = Role::Client { busy: None, used: false, bytes: Vec::new() };
+        let process = &self.senders[sender];
+        let stream = TcpStream::connect(if push { process.pushes? } else { process.address? }).ok()?;
+        let role = Role::Client { busy: None, used: false, push };
         self.add_link(stream, sender, role).ok()
     }
 
     fn on_client(&mut self, link: usize) {
         loop {
             let Some(found) = self.links.get_mut(&link) else { return };
-            let Some((said, used)) = wire::said(&found.input) else { return };
+            let Role::Client { push, .. } = found.role else { return };
+            let answer = if push {
+                wire::posted(&found.input)
+            } else {
+                wire::said(&found.input).map(|(said, used)| {
+                    let answer = match said {
+                        Said::TakenOn => Answer::TakenOn,
+                        Said::Refused { after } => Answer::Refused { after },
+                        Said::Error | Said::Nothing => Answer::Error,
+                    };
+                    (answer, used)
+                })
+            };
+            let Some((answer, used)) = answer else { return };
             let text = String::from_utf8_lossy(&found.input[..used]).trim_end().to_owned();
             found.input.drain(..used);
             let sender = found.sender;
             let Role::Client { busy, used, .. } = &mut found.role else { return };
             *used = true;
             let Some(handing) = busy.take() else { continue };
-            let answer = match said {
-                Said::TakenOn => Answer::TakenOn,
-                Said::Refused { after } => Answer::Refused { after },
-                Said::Error | Said::Nothing => Answer::Error,
+            let said = match &answer {
+                Answer::TakenOn | Answer::Delivered => Said::TakenOn,
+                Answer::Refused { after } => Said::Refused { after: *after },
+                Answer::Failed | Answer::Error => Said::Error,
             };
+            if push {
+                self.pending.remove(&handing.id);
+            }
             if answer == Answer::TakenOn {
                 self.pending.insert(handing.id.clone());
             }
@@ -538,7 +627,7 @@
             let now = self.now();
             self.clients.answered(now, &handing.id, said);
             self.next_hand_in();
-            self.idle[sender].push(link);
+            self.idle[sender][usize::from(push)].push(link);
         }
     }
 
@@ -549,6 +638,7 @@
             return self.hand_in(handing, true);
         }
         let id = handing.id;
+        self.pending.remove(&id);
         self.record(
             Some(sender),
             What::Dropped { id: id.clone() },
@@ -566,6 +656,7 @@
         }
         let sender = self.links.get(&link).map(|l| l.sender);
         self.remove(link);
+        self.pending.remove(id);
         self.record(sender, What::Abandoned { id: id.to_owned() }, &format!("no answer to {id}"));
         let now = self.now();
         self.clients.answered(now, id, Said::Nothing);
@@ -629,6 +720,14 @@
             }
         };
         let partner = self.places[endpoint].partner;
+        let push = self.day.partners[partner].push;
+        if push != request.path.starts_with(&wire::push_path(partner as u64)) {
+            self.void(format!(
+                "sender {sender}: {} to endpoint {endpoint}, which is another's",
+                request.path
+            ));
+            return self.say(link, &wire::response(404, &[], ""));
+        }
         if batch && ids.len() > self.day.partners[partner].spec.batch {
             return self.say(link, &wire::response(413, &[], ""));
         }
@@ -681,12 +780,18 @@
         }
         let Some(Out { ids, batch, .. }) = out.take() else { return };
         let all: Vec<Fate> = vec![Fate::Done; ids.len()];
+        let push = self.day.partners[partner].push;
         let (bytes, fates, wait, spoilt) = match reply {
             Reply::Answer { fates, wait, report, .. } => {
-                (wire::call_answer(&ids, batch, &fates, wait, report), fates, wait, false)
+                // A push service tells whole seconds.
+                let wait = match wait {
+                    Some(wait) if push => Some(Duration::from_secs(wait.as_millis().div_ceil(1000) as u64)),
+                    other => other,
+                };
+                (wire::call_answer(&ids, batch, &fates, wait, report, push), fates, wait, false)
             }
             Reply::Spoilt { how: Spoilt::Trailing, .. } => {
-                let mut bytes = wire::call_answer(&ids, batch, &all, None, None);
+                let mut bytes = wire::call_answer(&ids, batch, &all, None, None, push);
                 bytes.extend_from_slice(b"and more");
                 (bytes, all, None, true)
             }
--- a/crates/rehearsal/src/wire.rs
+++ b/crates/rehearsal/src/wire.rs
@@ -4,6 +4,7 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use cranehill_model::audit::Answer;
 use cranehill_model::clients::{Handing, Said};
 use cranehill_model::partner::Fate;
 
@@ -60,6 +61,7 @@
 pub fn response(status: u16, headers: &[(&str, String)], body: &str) -> Vec<u8> {
     let reason = match status {
         200 => "OK",
+        201 => "Created",
         204 => "No Content",
         400 => "Bad Request",
         404 => "Not Found",
@@ -104,10 +106,58 @@
             }
             Ok((ids, true))
         }
-        other => Err(format!("no such path: {other}")),
+        path => match path.strip_prefix("/p/").and_then(|rest| rest.split_once('/')) {
+            Some((_, id)) if !id.is_empty() && request.header("TTL").is_some() => {
+                Ok((vec![id.to_owned()], false))
+            }
+            _ => Err(format!("no such path: {path}")),
+        },
     }
 }
 
+/// The path under which posts for a partner are taken and passed on.
+pub fn push_path(partner: u64) -> String {
+    format!("/p/{partner}/")
+}
+
+/// A Web Push post. Its TTL is whole seconds, one at least.
+pub fn post(handing: &Handing, ttl: Duration, topic: bool) -> Vec<u8> {
+    let path = push_path(handing.partner);
+    let topic = if topic { format!("Topic: {}\r\n", handing.id) } else { String::new() };
+    let head = format!(
+        "POST {path}{} HTTP/1.1\r\nHost: sender\r\nTTL: {}\r\n{topic}Content-Encoding: aes128gcm\r\nContent-Length: {}\r\n\r\n",
+        handing.id,
+        ttl.as_secs(),
+        handing.body
+    );
+    let mut bytes = head.into_bytes();
+    bytes.extend(handing.id.bytes().cycle().take(handing.body));
+    bytes
+}
+
+/// A sender's one answer to a post, and how many bytes it was; `None` if it has not come whole.
+pub fn posted(bytes: &[u8]) -> Option<(Answer, usize)> {
+    let mut headers = [httparse::EMPTY_HEADER; 32];
+    let mut parsed = httparse::Response::new(&mut headers);
+    let head = match parsed.parse(bytes) {
+        Ok(httparse::Status::Complete(head)) => head,
+        Ok(httparse::Status::Partial) => return None,
+        Err(_) => return Some((Answer::Error, bytes.len())),
+    };
+    let header = |name: &str| {
+        let found = parsed.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name))?;
+        std::str::from_utf8(found.value).ok()?.trim().parse::<u64>().ok()
+    };
+    let whole = head + header("content-length").unwrap_or(0) as usize;
+    let answer = match parsed.code {
+        Some(201) => Answer::Delivered,
+        Some(503) => Answer::Refused { after: header("retry-after").map(Duration::from_secs) },
+        Some(410 | 504) => Answer::Failed,
+        _ => Answer::Error,
+    };
+    (bytes.len() >= whole).then_some((answer, whole))
+}
+
 /// A partner's answer to a call with these fates.
 pub fn call_answer(
     ids: &[String],
@@ -115,6 +165,7 @@
     fates: &[Fate],
     wait: Option<Duration>,
     report: Option<(f64, f64)>,
+    push: bool,
 ) -> Vec<u8> {
     let mut headers = Vec::new();
     if let Some((left, limit)) = report {
@@ -131,7 +182,7 @@
         return response(500, &headers, "");
     }
     if !batch {
-        return response(200, &headers, "");
+        return response(if push { 201 } else { 200 }, &headers, "");
     }
     let state = |fate: &Fate| match fate {
         Fate::Done => "done",
@@ -236,12 +287,13 @@
     #[test]
     fn a_batch_with_mixed_ends_says_each() {
         let ids = vec!["a".to_owned(), "b".to_owned()];
-        let text =
-            String::from_utf8(call_answer(&ids, true, &[Fate::Done, Fate::Busy], None, None)).expect("text");
+        let text = String::from_utf8(call_answer(&ids, true, &[Fate::Done, Fate::Busy], None, None, false))
+            .expect("text");
         assert!(text.starts_with("HTTP/1.1 200 ") && text.contains(r#"{"id":"b","state":"busy"}"#), "{text}");
         let wait = Some(Duration::from_millis(700));
-        let text = String::from_utf8(call_answer(&ids, true, &[Fate::Busy; 2], wait, Some((0.4, 25.0))))
-            .expect("text");
+        let text =
+            String::from_utf8(call_answer(&ids, true, &[Fate::Busy; 2], wait, Some((0.4, 25.0)), false))
+                .expect("text");
         assert!(text.starts_with("HTTP/1.1 429 ") && text.contains("Retry-After: 0.700000"), "{text}");
         assert!(text.contains("X-Pressure: x0=0.4000,x1=25.000"));
         let batch = |body: &str| {
@@ -278,5 +330,10 @@
         assert!(reports(b"{\"id\":\"a\",\"state\":\"gone\"}").is_err());
         assert_eq!(watch("/v1/endpoints?from=41&hold_ms=20000"), Some((41, Duration::from_secs(20))));
         assert_eq!(watch("/v1/endpoints"), None);
+        let refused = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 2\r\nContent-Length: 3\r\n\r\nno\n";
+        let after = Some(Duration::from_secs(2));
+        assert_eq!(posted(refused), Some((Answer::Refused { after }, refused.len())));
+        assert_eq!(posted(&refused[..refused.len() - 1]), None);
+        assert_eq!(posted(b"+OK\r\n"), Some((Answer::Error, 5)));
     }
 }
