Double the time-out once for calls that ran out together; weigh batches as one call

When a large partner went silent, each of the calls out doubled the next time-out, so that the one trial that is allowed waited 17 s and the partner was asked again 15 s after it was back.

--- a/crates/cranehill/src/cli.rs
+++ b/crates/cranehill/src/cli.rs
@@ -14,6 +14,7 @@
 use cranehill_daemon::config::{self, Config};
 use cranehill_daemon::reactor::{self, Order, Reactor, Setup, State};
 use cranehill_daemon::webpush;
+use cranehill_rehearsal::measure;
 
 #[derive(Parser)]
 #[command(
@@ -80,6 +81,25 @@
         #[arg(long, value_name = "PROGRAM", conflicts_with_all = ["files", "repeat", "senders"])]
         breakages: Option<PathBuf>,
     },
+    /// Look for the highest rate that one sender sustains, and tell what it costs at half of it.
+    Measure {
+        /// Over Web Push in place of the first front.
+        #[arg(long)]
+        push: bool,
+        /// Endpoints of the stand-in partners, two for each.
+        #[arg(long, default_value_t = 100, value_parser = clap::value_parser!(u16).range(2..=2000))]
+        endpoints: u16,
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u16).range(1..=16))]
+        senders: u16,
+        /// Seconds that each step hands in.
+        #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u16).range(1..=600))]
+        seconds: u16,
+        /// One step at this rate, in place of the search.
+        #[arg(long, value_name = "MESSAGES_A_SECOND", value_parser = clap::value_parser!(u32).range(1..=100_000))]
+        rate: Option<u32>,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Kill a real sender under load again and again, and check that nothing is lost, ended twice or wrongly repeated.
     Kills {
         #[arg(long, default_value_t = 100, value_parser = clap::value_parser!(u32).range(1..))]
@@ -146,6 +166,20 @@
                 Err(why) => Err(why),
             }
         }
+        Command::Measure { push, endpoints, senders, seconds, rate, seed } => {
+            let setup = measure::Setup {
+                endpoints: endpoints.into(),
+                senders: senders.into(),
+                push,
+                span: std::time::Duration::from_secs(seconds.into()),
+                seed,
+            };
+            match rehearse::measure(&setup, rate.map(f64::from)) {
+                Ok(true) => Ok(()),
+                Ok(false) => return ExitCode::FAILURE,
+                Err(why) => Err(why),
+            }
+        }
         Command::Kills { kills, seed, flip_every, disk_mb } => {
             match play_kills(kills, seed, flip_every, disk_mb) {
                 Ok(true) => Ok(()),
--- a/crates/cranehill/src/rehearse.rs
+++ b/crates/cranehill/src/rehearse.rs
@@ -10,6 +10,7 @@
 
 use cranehill_model::day;
 use cranehill_rehearsal::breakages::CASES;
+use cranehill_rehearsal::measure::{self, Step};
 use cranehill_rehearsal::{Against, Limits, Outcome, Plan, node_config, out, play, report};
 use indicatif::{ProgressBar, ProgressStyle};
 
@@ -242,6 +243,25 @@
     Ok(all)
 }
 
+/// Measures and prints a line for each step; false if not even the lowest rate is sustained.
+pub fn measure(setup: &measure::Setup, rate: Option<f64>) -> Result<bool, String> {
+    let program = std::env::current_exe().map_err(|e| format!("this program's own file: {e}"))?;
+    println!("{}", Step::HEADING);
+    let told = |step: &Step| println!("{}", step.line());
+    if let Some(rate) = rate {
+        let step = measure::step(&program, setup, rate).map_err(|e| e.to_string())?;
+        told(&step);
+        return Ok(step.sustained());
+    }
+    let Some(best) = measure::highest(&program, setup, told).map_err(|e| e.to_string())? else {
+        return Ok(false);
+    };
+    println!("highest sustained rate: {:.0}/s; at half of it, for a longer time:", best.rate);
+    let longer = measure::Setup { span: setup.span * 3, ..*setup };
+    told(&measure::step(&program, &longer, best.rate / 2.0).map_err(|e| e.to_string())?);
+    Ok(true)
+}
+
 /// A bar on standard error; none if that is no terminal.
 fn bar(name: &str) -> ProgressBar {
     let bar = ProgressBar::new(1);
--- a/crates/model/src/audit/mod.rs
+++ b/crates/model/src/audit/mod.rs
@@ -189,7 +189,8 @@
     Gone,
     /// It answers again.
     Ready,
-    /// An outage of a partner is over since `since`; from `since` on it can do so many messages a second when warm.
+    /// An outage of a partner is over since `since`; from `since` on it can do so many calls a second when warm. A further
+    /// message in a call weighs `item` of one.
     Back {
         partner: u64,
         since: Duration,
@@ -197,6 +198,7 @@
         capacity: f64,
         cold: f64,
         warm: Duration,
+        item: f64,
     },
 }
 
--- a/crates/model/src/clients.rs
+++ b/crates/model/src/clients.rs
@@ -256,6 +256,20 @@
         (worth.sum(), self.origins.len() as f64)
     }
 
+    /// The same by the second in which the first try was.
+    pub fn worth_over_time(&self) -> Vec<(f64, f64)> {
+        let mut seconds: Vec<(f64, f64)> = Vec::new();
+        for origin in &self.origins {
+            let second = origin.at.as_secs() as usize;
+            if seconds.len() <= second {
+                seconds.resize(second + 1, (0.0, 0.0));
+            }
+            seconds[second].0 += self.worth_of(origin);
+            seconds[second].1 += 1.0;
+        }
+        seconds
+    }
+
     /// Worth of one first try, 0 to 1.
     pub fn worth_of(&self, origin: &Origin) -> f64 {
         let Some(delivered) = origin.delivered else { return 0.0 };
--- a/crates/model/tests/audit.rs
+++ b/crates/model/tests/audit.rs
@@ -203,6 +203,7 @@
         capacity: 10.0,
         cold: 0.23,
         warm: ms(9100),
+        item: 0.1,
     };
     log = log.add(5000, back);
     for n in 0..20u64 {
@@ -218,6 +219,14 @@
     pushed(1, 5).breaks(Rule::Return);
     assert!(matches!(pushed(1, 8).verdict(Rule::Return, 60_000), Verdict::Kept { .. }));
     assert!(matches!(pushed(0, 0).verdict(Rule::Return, 60_000), Verdict::Kept { .. }));
+    // Twelve calls of five messages weigh 16.8, and not 60.
+    let batched = |calls: u64| {
+        let back = pushed(1, 0).0.into_iter().take(4).collect();
+        (0..calls).fold(Log(back), |log, n| log.call(5000 + n * 60, 1, &["a", "b", "c", "d", "e"]))
+    };
+    assert!(batched(1).0.iter().any(|l| matches!(l.what, What::Back { .. })));
+    batched(9).keeps(Rule::Return);
+    batched(20).breaks(Rule::Return);
 }
 
 #[test]
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -7,10 +7,12 @@
 
 pub mod breakages;
 pub mod figures;
+pub mod measure;
 pub mod out;
 pub mod report;
 mod senders;
 mod stage;
+mod used;
 mod wire;
 
 use std::net::SocketAddr;
@@ -22,6 +24,7 @@
 
 pub use senders::Limits;
 pub use stage::play;
+pub use used::Used;
 
 /// Why a rehearsal could not be played. Breaches are no errors: they are in the [`Outcome`].
 #[derive(Debug, thiserror::Error)]
@@ -35,6 +38,8 @@
     NotAsked { clients: SocketAddr, directory: SocketAddr },
     #[error("sender {sender} did not start: {why}")]
     NotReady { sender: usize, why: String },
+    #[error("the day that is to be measured: {0}")]
+    Day(String),
     #[error("sockets: {0}")]
     Io(#[from] std::io::Error),
 }
@@ -76,6 +81,11 @@
     pub lines: Vec<Line>,
     /// Worth delivered and asked for.
     pub worth: (f64, f64),
+    /// The same by the second in which a notice was first handed in.
+    pub worth_over_time: Vec<(f64, f64)>,
+    /// What the senders had used at the day's end, and the processor time of the rig's own loop.
+    pub senders: Vec<Used>,
+    pub rig_cpu: Duration,
     pub handed: u64,
     pub delivered: u64,
     /// Senders that ended without being told to.
--- a/crates/rehearsal/src/senders.rs
+++ b/crates/rehearsal/src/senders.rs
@@ -14,6 +14,7 @@
 use serde_json::{Value, json};
 
 use crate::RunError;
+use crate::used::{self, Used};
 
 /// What is heard of a sender's process.
 #[derive(Clone, Debug)]
@@ -34,11 +35,13 @@
     pub memory_mb: f64,
     pub sockets: usize,
     pub disk_mb: f64,
+    /// Calls out at once; `None` for what the day's load needs.
+    pub calls_out: Option<usize>,
 }
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { memory_mb: 64.0, sockets: 512, disk_mb: 1.0 }
+        Limits { memory_mb: 64.0, sockets: 512, disk_mb: 1.0, calls_out: None }
     }
 }
 
@@ -137,6 +140,11 @@
         Ok(())
     }
 
+    /// What its process has used; nothing if there is none.
+    pub fn used(&self) -> Used {
+        self.child.as_ref().map_or_else(Used::default, |c| used::of_process(c.id()))
+    }
+
     /// Both fronts are open, as far as it has them.
     pub fn is_ready(&self) -> bool {
         self.address.is_some() && (self.pushes.is_some() || !self.push)
@@ -204,6 +212,7 @@
         .map(|(name, share)| json!({"name": name, "quotaRps": day.load.rate * share}))
         .collect();
     let (slots, held) = sizes(day);
+    let slots = limits.calls_out.unwrap_or(slots);
     let probes = false;
     let rules = day.partners.first().map(|m| m.spec.back).unwrap_or_default();
     json!({
--- a/crates/rehearsal/src/stage.rs
+++ b/crates/rehearsal/src/stage.rs
@@ -24,7 +24,7 @@
 
 use crate::senders::{Heard, Process, configuration, push_file, rough_rate};
 use crate::wire::{self, Request};
-use crate::{Outcome, Plan, RunError};
+use crate::{Outcome, Plan, RunError, used};
 
 const WAKE: Token = Token(usize::MAX);
 /// All senders must be ready by then.
@@ -172,6 +172,7 @@
     let mut stage = Stage::set_up(plan, folder.path())?;
     stage.wait_ready()?;
     stage.begin();
+    let spent = used::of_this_thread();
     let last = stage.day.lasts;
     let longest = stage.day.load.classes.iter().map(|c| c.lasts).max().unwrap_or_default();
     let end = last + longest + Duration::from_millis(700);
@@ -181,6 +182,7 @@
         let now = stage.now();
         progress(now, end);
         if now >= end || now >= last && stage.pending.is_empty() && stage.clients.next().is_none() {
+            stage.outcome.rig_cpu = used::of_this_thread().saturating_sub(spent);
             return Ok(stage.finish());
         }
     }
@@ -273,6 +275,9 @@
                 verdicts: Vec::new(),
                 lines: Vec::new(),
                 worth: (0.0, 0.0),
+                worth_over_time: Vec::new(),
+                senders: Vec::new(),
+                rig_cpu: Duration::ZERO,
                 handed: 0,
                 delivered: 0,
                 crashed: Vec::new(),
@@ -893,6 +898,7 @@
             capacity: spec.capacity,
             cold: spec.back.cold,
             warm: spec.back.warm,
+            item: spec.item_cost,
         };
         self.record(None, what, &format!("partner {partner} is back since {:.3} s", since.as_secs_f64()));
     }
@@ -1269,6 +1275,7 @@
 
     fn finish(mut self) -> Outcome {
         let end = self.now();
+        self.outcome.senders = self.senders.iter().map(Process::used).collect();
         self.senders.iter_mut().for_each(Process::kill);
         let class = |e: &Effect| match e {
             Effect::Safe => Class::Safe,
@@ -1284,6 +1291,7 @@
         Outcome {
             verdicts: auditor.verdicts(end, usual),
             worth: self.clients.worth(),
+            worth_over_time: self.clients.worth_over_time(),
             late: (most, usual),
             lasted: end,
             lines: self.lines,
--- /dev/null
+++ b/crates/rehearsal/src/used.rs
@@ -0,0 +1,37 @@
+//! What processes and this thread have used, as the system tells under `/proc`. Where there is none, nothing is told.
+
+use std::fs;
+use std::time::Duration;
+
+/// What a process has used so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Used {
+    /// Processor time of all its threads.
+    pub cpu: Duration,
+    /// The most resident memory that it has had, in kB.
+    pub memory_kb: u64,
+    /// Descriptors that are open now.
+    pub descriptors: usize,
+}
+
+/// Of a process that was started here.
+pub fn of_process(id: u32) -> Used {
+    let status = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+    let peak = peak.and_then(|l| l.split_whitespace().next()?.parse().ok());
+    let threads = fs::read_dir(format!("/proc/{id}/task"));
+    let cpu = threads.into_iter().flatten().flatten().map(|t| spent(&t.path().join("schedstat")));
+    let descriptors = fs::read_dir(format!("/proc/{id}/fd")).map_or(0, Iterator::count);
+    Used { cpu: cpu.sum(), memory_kb: peak.unwrap_or(0), descriptors }
+}
+
+/// Processor time of the thread that asks.
+pub fn of_this_thread() -> Duration {
+    spent("/proc/thread-self/schedstat".as_ref())
+}
+
+/// The first number there: nanoseconds on a processor.
+fn spent(path: &std::path::Path) -> Duration {
+    let text = fs::read_to_string(path).unwrap_or_default();
+    Duration::from_nanos(text.split_whitespace().next().and_then(|n| n.parse().ok()).unwrap_or(0))
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -102,6 +102,7 @@
     base: f64,
     seen: bool,
     doubled: u32,
+    doubled_at: Option<Time>,
 }
 
 impl Rtt {
@@ -560,7 +561,13 @@
                         *crowded = now + CROWDED;
                     }
                 }
-                Status::TimedOut => self.lanes[lane].rtt[class].doubled += 1,
+                // Once for all that were out together: only a call sent since tells of more.
+                Status::TimedOut => {
+                    let rtt = &mut self.lanes[lane].rtt[class];
+                    if rtt.doubled_at.is_none_or(|at| out.sent >= at) {
+                        (rtt.doubled, rtt.doubled_at) = (rtt.doubled + 1, Some(now));
+                    }
+                }
                 Status::Refused => {
                     self.endpoints[out.endpoint].last_answer = now;
                     // Senders refused together, or told the same end of a wait, must not return together: a
