Set one timer for the next notice in rehearsals; measure says what was wrong

Need: every answer added a timer for the next notice, and each timer that went off set another: the rig's work grew with all that had ever been answered, and was taken for the sender's limit.

Change: one timer, and stale ones do nothing. A step of the measurement names what it saw broken.

--- a/crates/cranehill/src/rehearse.rs
+++ b/crates/cranehill/src/rehearse.rs
@@ -247,7 +247,11 @@
 pub fn measure(setup: &measure::Setup, rate: Option<f64>) -> Result<bool, String> {
     let program = std::env::current_exe().map_err(|e| format!("this program's own file: {e}"))?;
     println!("{}", Step::HEADING);
-    let told = |step: &Step| println!("{}", step.line());
+    let told = |step: &Step| {
+        println!("{}", step.line());
+        // What a rig that can't keep up sees is no proof.
+        step.wrong.iter().filter(|_| step.clear()).for_each(|w| println!("    {w}"));
+    };
     if let Some(rate) = rate {
         let step = measure::step(&program, setup, rate).map_err(|e| e.to_string())?;
         told(&step);
--- a/crates/rehearsal/src/measure.rs
+++ b/crates/rehearsal/src/measure.rs
@@ -7,6 +7,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use cranehill_model::audit::Verdict;
 use cranehill_model::day;
 
 use crate::figures::{Figures, figures};
@@ -57,6 +58,8 @@
     pub descriptors: usize,
     pub late: Duration,
     pub holds: bool,
+    /// What was broken, void or ended by itself, the first of each.
+    pub wrong: Vec<String>,
 }
 
 impl Step {
@@ -145,9 +148,22 @@
         descriptors: outcome.senders.iter().map(|u| u.descriptors).max().unwrap_or(0),
         late: outcome.late.1,
         holds: outcome.holds(),
+        wrong: wrong(outcome),
     }
 }
 
+fn wrong(outcome: &Outcome) -> Vec<String> {
+    let mut all: Vec<String> =
+        outcome.crashed.iter().map(|s| format!("sender {s} ended by itself")).take(1).collect();
+    all.extend(outcome.void.first().cloned());
+    for (_, verdict) in &outcome.verdicts {
+        if let Verdict::Broken(breaches) = verdict {
+            all.extend(breaches.first().map(|b| format!("{} times: {b}", breaches.len())));
+        }
+    }
+    all
+}
+
 /// Looks for the highest rate that is sustained; `each` hears of every step. `None` if not even the first rate is.
 pub fn highest(program: &Path, setup: &Setup, mut each: impl FnMut(&Step)) -> Result<Option<Step>, RunError> {
     let mut best: Option<Step> = None;
--- a/crates/rehearsal/src/stage.rs
+++ b/crates/rehearsal/src/stage.rs
@@ -81,7 +81,9 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Timer {
-    HandIn,
+    HandIn {
+        at: Duration,
+    },
     Patience {
         link: usize,
         id: String,
@@ -161,6 +163,7 @@
     told: Vec<BTreeMap<usize, Listed>>,
     pending: BTreeSet<String>,
     next_sender: usize,
+    hand_in_at: Option<Duration>,
     expected_end: Vec<bool>,
     outcome: Outcome,
     plan: &'a Plan,
@@ -270,6 +273,7 @@
             told: vec![BTreeMap::new(); day.senders],
             pending: BTreeSet::new(),
             next_sender: 0,
+            hand_in_at: None,
             expected_end: vec![false; day.senders],
             outcome: Outcome {
                 verdicts: Vec::new(),
@@ -382,9 +386,7 @@
                 self.at(end, Timer::Back(partner));
             }
         }
-        if let Some(at) = self.clients.next() {
-            self.at(at, Timer::HandIn);
-        }
+        self.next_hand_in();
     }
 
     fn now(&self) -> Duration {
@@ -488,7 +490,12 @@
 
     fn on_timer(&mut self, timer: Timer) -> Result<(), RunError> {
         match timer {
-            Timer::HandIn => {
+            Timer::HandIn { at } => {
+                // One that an earlier one has overtaken.
+                if self.hand_in_at != Some(at) {
+                    return Ok(());
+                }
+                self.hand_in_at = None;
                 let now = self.now();
                 for (_, handing) in self.clients.hand_in(now) {
                     self.hand_in(handing, false);
@@ -527,8 +534,11 @@
     }
 
     fn next_hand_in(&mut self) {
-        if let Some(at) = self.clients.next() {
-            self.at(at, Timer::HandIn);
+        // One timer: each that goes off sets the next, so a second one would go on for ever.
+        let due = self.clients.next().filter(|at| self.hand_in_at.is_none_or(|set| *at < set));
+        if let Some(at) = due {
+            self.hand_in_at = Some(at);
+            self.at(at, Timer::HandIn { at });
         }
     }
 
