Return to a cold partner no faster than its listed rate allows

Change: the part is the lesser of demand and this sender's equal part of the rate that the list or an answer told.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -860,7 +860,8 @@
         {
             return false;
         }
-        let part = lane.demand.rate(now);
+        // Who is asked for more than a destination takes must not return to it at that pace.
+        let part = lane.demand.rate(now).min(lane.demand.fair.unwrap_or(f64::INFINITY));
         let trial = matches!(lane.health.mode, Mode::Down { .. });
         let room = lane.window.has_room(lane.out) && (lane.lucky || lane.window.chance().is_none());
         let free = (self.set.slots as usize).saturating_sub(self.calls.len());
