--- a/crates/model/src/audit/partners.rs
+++ b/crates/model/src/audit/partners.rs
@@ -27,9 +27,11 @@
                         self.leaving.remove(&(sender, *endpoint));
                     }
                     Listed::Draining | Listed::Gone => {
-                        self.leaving
-                            .entry((sender, *endpoint))
-                            .or_insert_with(|| (line.at, line.late, line.wire.clone()));
+                        self.leaving.entry((sender, *endpoint)).or_insert_with(|| {
+                            // A sender that obeys makes no call, so the telling is the case.
+                            findings.kept(Rule::Drains);
+                            (line.at, line.late, line.wire.clone())
+                        });
                     }
                 }
             }
--- a/crates/model/tests/audit.rs
+++ b/crates/model/tests/audit.rs
@@ -167,9 +167,9 @@
     again.call(1600, 1, &["a"]).breaks(Rule::Drains);
     // Only who was told.
     let other = told().add(1600, What::Begun { connection: 1, endpoint: 0, partner: 7 }).from(1);
-    assert_eq!(other.verdict(Rule::Drains, 60_000), Verdict::Kept { cases: 0 });
+    assert_eq!(other.verdict(Rule::Drains, 60_000), Verdict::Kept { cases: 1 });
     let up = told().add(1200, What::Told { endpoint: 0, partner: 7, listed: Listed::Up });
-    assert_eq!(up.call(1600, 1, &["a"]).verdict(Rule::Drains, 60_000), Verdict::Kept { cases: 0 });
+    assert_eq!(up.call(1600, 1, &["a"]).verdict(Rule::Drains, 60_000), Verdict::Kept { cases: 1 });
 }
 
 #[test]
