--- a/crates/cranehill/tests/rehearse.rs
+++ b/crates/cranehill/tests/rehearse.rs
@@ -5,8 +5,10 @@
 use std::process::Command;
 use std::thread;
 
+use cranehill_core::breakage::Breakage;
 use cranehill_model::audit::Rule;
 use cranehill_model::day;
+use cranehill_rehearsal::breakages::CASES;
 use cranehill_rehearsal::{Limits, Outcome, Plan, out, play, report};
 use parquet::file::reader::{FileReader, SerializedFileReader};
 
@@ -122,3 +124,11 @@
     let error = play(&plan, |_, _| {}).expect_err("a sender that does not start");
     assert!(error.to_string().contains("did not start"), "{error}");
 }
+
+/// A breakage that no day plays would never be seen to be caught.
+#[test]
+fn each_breakage_has_a_day() {
+    let known: Vec<&str> = Breakage::ALL.iter().map(|(name, _)| *name).collect();
+    let played: Vec<&str> = CASES.iter().map(|case| case.name).collect();
+    assert_eq!(known, played);
+}
--- a/crates/model/src/audit/ends.rs
+++ b/crates/model/src/audit/ends.rs
@@ -48,7 +48,7 @@
                 let Some(notice) = self.notices.get_mut(id) else { return };
                 notice.answered = true;
                 if notice.posted {
-                    return self.post_answered(id, answer, line, findings);
+                    return self.post_answered(id, answer, line, figures, findings);
                 }
                 let over = line.at.saturating_sub(notice.handed).checked_sub(figures.patience);
                 let over = over.filter(|o| !o.is_zero());
@@ -92,7 +92,7 @@
                     }
                 }
             }
-            What::Reported { id, closing } => self.reported(id, *closing, line, findings),
+            What::Reported { id, closing } => self.reported(id, *closing, line, figures, findings),
             What::Signalled | What::Gone => {
                 if let Some(sender) = line.sender {
                     let spans = self.excused.entry(sender).or_default();
@@ -110,7 +110,14 @@
         }
     }
 
-    fn reported(&mut self, id: &str, closing: Closing, line: &Line, findings: &mut Findings) {
+    fn reported(
+        &mut self,
+        id: &str,
+        closing: Closing,
+        line: &Line,
+        figures: &Figures,
+        findings: &mut Findings,
+    ) {
         let Some(notice) = self.notices.get_mut(id) else {
             let why = "a report of a notice that nobody handed in".into();
             findings.broken(breach(Rule::OneEnd, id, line.at, why, vec![line.wire.clone()]));
@@ -138,11 +145,18 @@
         if !notice.answered {
             notice.answered = true;
         }
-        self.in_time(id, line, findings);
+        self.in_time(id, line, figures, findings);
     }
 
     /// The one answer to a post: true to what the push service wrote, and in time.
-    fn post_answered(&self, id: &str, answer: &Answer, line: &Line, findings: &mut Findings) {
+    fn post_answered(
+        &self,
+        id: &str,
+        answer: &Answer,
+        line: &Line,
+        figures: &Figures,
+        findings: &mut Findings,
+    ) {
         let Some(notice) = self.notices.get(id) else { return };
         let wire = |proof: Option<&String>| {
             let mut wire = vec![notice.handed_wire.clone(), line.wire.clone()];
@@ -160,16 +174,16 @@
             }
             _ => findings.kept(Rule::Answers),
         }
-        let due = notice.handed + notice.lasts + Figures::default().overdue;
+        let due = notice.handed + notice.lasts + figures.overdue;
         let over = line.at.checked_sub(due).filter(|o| !o.is_zero());
         let why = format!("answered {} ms after its time", over.unwrap_or_default().as_millis());
         let late = line.late + notice.handed_late;
         findings.judge(over, late, || breach(Rule::InTime, id, line.at, why, wire(None)), Rule::InTime);
     }
 
-    fn in_time(&self, id: &str, line: &Line, findings: &mut Findings) {
+    fn in_time(&self, id: &str, line: &Line, figures: &Figures, findings: &mut Findings) {
         let Some(notice) = self.notices.get(id) else { return };
-        let due = notice.handed + notice.lasts + Figures::default().overdue;
+        let due = notice.handed + notice.lasts + figures.overdue;
         if notice.sender.is_some_and(|s| self.is_excused_since(s, due, line.at)) || notice.delivered.is_some()
         {
             return;
--- a/crates/rehearsal/src/figures.rs
+++ b/crates/rehearsal/src/figures.rs
@@ -1,6 +1,6 @@
 //! Figures of a day, read off its lines alone.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use cranehill_model::audit::{Answer, Fate, Line, What};
@@ -59,7 +59,7 @@
     let mut counts = vec![[0u32; 3]; seconds];
     let mut sent = vec![vec![0u32; seconds]; day.partners.len()];
     let mut begun: HashMap<&str, Duration> = HashMap::new();
-    let mut out: Vec<BTreeMap<u64, ()>> = vec![BTreeMap::new(); day.senders];
+    let mut out: Vec<BTreeSet<u64>> = vec![BTreeSet::new(); day.senders];
     let mut told: Vec<(Duration, i32)> = Vec::new();
     for line in lines {
         let second = (line.at.as_secs() as usize).min(seconds - 1);
@@ -76,7 +76,7 @@
                 counts[second][2] += u32::from(matches!(answer, Answer::Refused { .. }));
             }
             What::Called { connection, partner, ids, .. } => {
-                out[sender].insert(*connection, ());
+                out[sender].insert(*connection);
                 figures.in_flight[sender].push((line.at.as_secs_f64(), out[sender].len() as f64));
                 if let Some(row) = sent.get_mut(*partner as usize) {
                     row[second] += ids.len() as u32;
@@ -96,7 +96,7 @@
                 }
             }
             What::Closed { connection } | What::Broke { connection, .. }
-                if out[sender].contains_key(connection) =>
+                if out[sender].contains(connection) =>
             {
                 out[sender].remove(connection);
                 figures.in_flight[sender].push((line.at.as_secs_f64(), out[sender].len() as f64));
