Spread watches of the directory over what all senders together may ask

A trace of each question's time showed answers at 51 ms each, 503 after 2.0 s (waited too long) or 19 ms (queue full), and none getting in again while the queue was full. Line at fault: directory::AGAIN as the only pause in watch_later.

Change: directory::Pauses. The first watch is spread over senders x 50 ms, the pause after a failure has that mean and doubles up to four times it, a told Retry-After is kept. With two senders this is 100 ms as before.

--- a/crates/daemon/src/reactor.rs
+++ b/crates/daemon/src/reactor.rs
@@ -128,6 +128,7 @@
     ask_whole: bool,
     watch_at: Option<Time>,
     watch_asked: Time,
+    watch_pauses: directory::Pauses,
     reports: Reports,
     report_at: Time,
     /// When the journal may take its next step of upkeep, and when the log may say again that it can't.
@@ -249,6 +250,7 @@
         tell_recovered(&recovered);
         let found = recovered.records.len();
         let effects = core.step(now, Input::Recovered(std::mem::take(&mut recovered.records)));
+        let mut watch_pauses = directory::Pauses::new(site.settings.instances, seed);
         let mut reactor = Reactor {
             poll,
             clock,
@@ -273,8 +275,9 @@
             discovery,
             version: known_version,
             ask_whole: false,
-            watch_at: discovery.map(|_| now),
+            watch_at: discovery.map(|_| now + watch_pauses.start()),
             watch_asked: now,
+            watch_pauses,
             reports: Reports::default(),
             report_at: now,
             upkeep_at: now,
@@ -599,7 +602,7 @@
             Role::Partner { endpoint, check: Some(_), .. } => {
                 self.step(Input::Checked { endpoint, status: Status::NoConnection });
             }
-            Role::Directory => self.watch_later(why),
+            Role::Directory => self.watch_later(why, None),
             Role::Closing => self.report_later(),
             Role::Partner { .. } | Role::Client { .. } | Role::Pusher { .. } => {}
         }
--- a/crates/daemon/src/reactor/platform.rs
+++ b/crates/daemon/src/reactor/platform.rs
@@ -7,9 +7,10 @@
 const RELOAD_MOST: Duration = Duration::from_millis(1500);
 
 impl Reactor {
-    pub(super) fn watch_later(&mut self, why: &str) {
-        log::info!("directory: {why}; the last list is kept");
-        self.watch_at = Some(self.clock.now() + directory::AGAIN);
+    pub(super) fn watch_later(&mut self, why: &str, told: Option<Duration>) {
+        let pause = self.watch_pauses.failed(told);
+        log::info!(pause_ms = pause.as_millis() as u64; "directory: {why}; the last list is kept");
+        self.watch_at = Some(self.clock.now() + pause);
     }
 
     pub(super) fn report_later(&mut self) {
@@ -72,6 +73,7 @@
             Ok((version, whole, mut list)) => {
                 self.version = version;
                 self.ask_whole = false;
+                self.watch_pauses.answered();
                 if !list.is_empty() || whole {
                     log::info!(
                         "directory: version {version}, {} endpoints{}",
@@ -84,7 +86,10 @@
                 }
                 self.step(Input::Listed { whole, list });
             }
-            Err(why) => self.watch_later(&why),
+            Err(why) => {
+                let unix_now = Duration::from_nanos(self.clock.now().0);
+                self.watch_later(&why, http::told_wait(&response.headers, unix_now));
+            }
         }
     }
 
@@ -98,7 +103,7 @@
             Some(id) => id,
             None => match self.connect(Role::Directory, &host) {
                 Ok(id) => id,
-                Err(e) => return self.watch_later(&e.to_string()),
+                Err(e) => return self.watch_later(&e.to_string(), None),
             },
         };
         self.queue(id, bytes);
