--- a/src/brain.rs
+++ b/src/brain.rs
@@ -43,8 +43,8 @@
 const CROWDED: Duration = Duration::from_secs(60);
 /// Mean gap between calls, in idle times trusted, at which keeping a connection does not pay.
 const IDLE_WORTH: u32 = 3;
-/// Calls that a sender may save up of its part of a limit, and the share of a limit that all aim at: readings are
-/// noisy. Each refusal in a row, so many at most, lengthens the gap between calls by half.
+/// Calls that a sender may save up of its part of a limit, and the share of a limit that all aim at: readings
+/// are noisy. Each refusal in a row, so many at most, lengthens the gap between calls by half.
 const PACE_DEPTH: f64 = 2.0;
 const PACE_SHARE: f64 = 0.95;
 const EASE: f64 = 0.5;
@@ -139,7 +139,7 @@
     proven: f64,
     /// One over the routes of the destination.
     share: f64,
-    /// Equal parts of the rate that the list tells, perhaps rough, and of what an answer told: endless for none.
+    /// Equal parts of the rate that the list tells, perhaps rough, and of what an answer told, if any.
     listed: f64,
     told: Option<f64>,
 }
@@ -177,8 +177,8 @@
     }
 }
 
-/// This sender's part of a limit that all senders share, as a token bucket. Guards against many senders that all
-/// run into it: each sees too little to learn by refusals, and all together pay for them with the limit itself.
+/// This sender's part of a limit that all senders share, as a token bucket. Guards against many senders that
+/// all run into it: each sees too little to learn by refusals, and all pay for them with the limit.
 #[derive(Clone, Debug)]
 pub(crate) struct Pace {
     calls: f64,
@@ -210,9 +210,9 @@
 }
 
 impl Lane {
-    /// Calls a second that this sender lets itself make. Refusals in a row tell that its part is too much: what all
-    /// send must fall below the limit before it is left. Who returns to a cold destination stays inside its part
-    /// of what that can do, so that the other senders' parts are left to them.
+    /// Calls a second that this sender lets itself make. Refusals in a row tell that its part is too much:
+    /// what all send must fall below the limit before it is left. Who returns to a cold destination stays
+    /// inside its part of what that can do, so that the other senders' parts are left to them.
     fn own_rate(&self, now: Time, rules: &Rules) -> f64 {
         let eased = 1.0 / (1.0 + EASE * f64::from(self.refused.min(EASE_MOST)));
         let Demand { told, listed, .. } = self.demand;
