Ask for the first watch at once: what the agent holds counts as told

The list changed at 3.84 s; the agents had it at 3.86 s, where n2 logs it ("3.896 directory: version 1, 3 endpoints changed"), but n1 asks only at 7.169 s ("directory: version 2, 6 endpoints changed"), since `Pauses::start` spread the first watch over 50 ms for each of 200 senders, 10 s. 170 of 300 senders heard of version 1 at all. What the agent holds counts as told, so the spread itself broke the rule. Restarted senders waited anew: n2 is back at 9.549 s and hears of 13 changes at 17.260 s.

The first watch goes at once. When questions are put stands in a module of its own without a clock (`watch`): only a refusal spreads the senders over 50 ms each, never beyond the settings' `mustAskIn` (it was up to 60 s); a watch that could not be put, which burdens nobody, goes again after 100 to 400 ms; a reload forgets failures.

--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -10,4 +10,5 @@
 mod link;
 pub mod partners;
 pub mod reactor;
+pub mod watch;
 pub mod webpush;
--- a/crates/daemon/src/reactor.rs
+++ b/crates/daemon/src/reactor.rs
@@ -27,6 +27,7 @@
 use crate::http;
 use crate::link::{ANSWER_MOST, Clock, Link, Out, Role, consume};
 use crate::partners::{self, Told, Verdict};
+use crate::watch::{Failure, Watch};
 use crate::webpush::{self, Push};
 use cranehill_core as core;
 use cranehill_core::breakage::{self, Breakage};
@@ -123,12 +124,7 @@
     /// When to read the configuration again, and until when to try.
     reload: Option<(Time, Time)>,
     discovery: Option<SocketAddr>,
-    version: u64,
-    /// The next question to the directory is for the whole list.
-    ask_whole: bool,
-    watch_at: Option<Time>,
-    watch_asked: Time,
-    watch_pauses: directory::Pauses,
+    watch: Watch,
     reports: Reports,
     report_at: Time,
     /// When the journal may take its next step of upkeep, and when the log may say again that it can't.
@@ -250,7 +246,8 @@
         tell_recovered(&recovered);
         let found = recovered.records.len();
         let effects = core.step(now, Input::Recovered(std::mem::take(&mut recovered.records)));
-        let mut watch_pauses = directory::Pauses::new(site.settings.instances, seed);
+        let set = &site.settings;
+        let watch = Watch::new(known_version, set.instances, set.rules.must_ask_in, seed, now);
         let mut reactor = Reactor {
             poll,
             clock,
@@ -273,11 +270,7 @@
             reread: setup.reread,
             reload: None,
             discovery,
-            version: known_version,
-            ask_whole: false,
-            watch_at: discovery.map(|_| now + watch_pauses.start()),
-            watch_asked: now,
-            watch_pauses,
+            watch,
             reports: Reports::default(),
             report_at: now,
             upkeep_at: now,
@@ -415,7 +408,7 @@
             consider(self.upkeep_at);
         }
         self.wakes.first().copied().into_iter().for_each(&mut consider);
-        self.watch_at.into_iter().chain(self.accept_again).for_each(&mut consider);
+        self.watch_due().into_iter().chain(self.accept_again).for_each(&mut consider);
         self.reload.iter().for_each(|&(at, _)| consider(at));
         if self.reports.ready() {
             consider(self.report_at);
@@ -602,7 +595,7 @@
             Role::Partner { endpoint, check: Some(_), .. } => {
                 self.step(Input::Checked { endpoint, status: Status::NoConnection });
             }
-            Role::Directory => self.watch_later(why, None),
+            Role::Directory => self.watch_failed(why, Failure::Unreached),
             Role::Closing => self.report_later(),
             Role::Partner { .. } | Role::Client { .. } | Role::Pusher { .. } => {}
         }
@@ -621,7 +614,7 @@
         if self.reload.is_some_and(|(at, _)| at <= now) {
             self.read_again();
         }
-        if self.watch_at.take_if(|t| *t <= now).is_some() {
+        if self.watch_due().is_some_and(|t| t <= now) {
             self.watch(None);
         }
         let due: Vec<usize> = self
--- a/crates/daemon/src/reactor/platform.rs
+++ b/crates/daemon/src/reactor/platform.rs
@@ -7,10 +7,14 @@
 const RELOAD_MOST: Duration = Duration::from_millis(1500);
 
 impl Reactor {
-    pub(super) fn watch_later(&mut self, why: &str, told: Option<Duration>) {
-        let pause = self.watch_pauses.failed(told);
+    /// When the next question to the directory is due, where there is one to ask.
+    pub(super) fn watch_due(&self) -> Option<Time> {
+        self.discovery.and(self.watch.due())
+    }
+
+    pub(super) fn watch_failed(&mut self, why: &str, failure: Failure) {
+        let pause = self.watch.failed(self.clock.now(), failure);
         log::info!(pause_ms = pause.as_millis() as u64; "directory: {why}; the last list is kept");
-        self.watch_at = Some(self.clock.now() + pause);
     }
 
     pub(super) fn report_later(&mut self) {
@@ -33,20 +37,12 @@
                     self.drop_link(id);
                 }
                 if watching {
-                    let (before, whole) = (self.version, self.ask_whole);
                     self.on_list(&response);
-                    // A directory that does not hold the watch would have us ask without end; so soon after, the
-                    // next watch still continues this one.
                     let now = self.clock.now();
-                    if !whole && self.version == before && now - self.watch_asked < directory::AGAIN {
-                        self.watch_at.get_or_insert(now + directory::AGAIN);
-                    }
-                    // The next watch goes at once: within 200 ms it continues this one.
-                    match (reuse, self.watch_at) {
-                        (true, None) => self.watch(Some(id)),
-                        (true, Some(_)) => drop(self.drop_link(id)),
-                        (false, None) => self.watch_at = Some(self.clock.now()),
-                        (false, Some(_)) => {}
+                    match (reuse, self.watch_due().is_some_and(|due| due <= now)) {
+                        (true, true) => self.watch(Some(id)),
+                        (true, false) => drop(self.drop_link(id)),
+                        (false, _) => {}
                     }
                 } else {
                     let told = self.reports.answered(response.status);
@@ -71,9 +67,7 @@
         });
         match read {
             Ok((version, whole, mut list)) => {
-                self.version = version;
-                self.ask_whole = false;
-                self.watch_pauses.answered();
+                self.watch.answered(self.clock.now(), version);
                 if !list.is_empty() || whole {
                     log::info!(
                         "directory: version {version}, {} endpoints{}",
@@ -88,7 +82,8 @@
             }
             Err(why) => {
                 let unix_now = Duration::from_nanos(self.clock.now().0);
-                self.watch_later(&why, http::told_wait(&response.headers, unix_now));
+                let told = http::told_wait(&response.headers, unix_now);
+                self.watch_failed(&why, Failure::Refused { told });
             }
         }
     }
@@ -96,14 +91,12 @@
     pub(super) fn watch(&mut self, link: Option<usize>) {
         let Some(address) = self.discovery else { return };
         let host = address.to_string();
-        let bytes =
-            if self.ask_whole { directory::whole(&host) } else { directory::watch(&host, self.version) };
-        self.watch_asked = self.clock.now();
+        let bytes = self.watch.ask(self.clock.now(), &host);
         let id = match link {
             Some(id) => id,
             None => match self.connect(Role::Directory, &host) {
                 Ok(id) => id,
-                Err(e) => return self.watch_later(&e.to_string(), None),
+                Err(e) => return self.watch_failed(&e.to_string(), Failure::Unreached),
             },
         };
         self.queue(id, bytes);
@@ -183,8 +176,7 @@
         self.reports.lost();
         self.report_at = now;
         self.discovery = Some(address);
-        self.ask_whole = true;
-        self.watch_at = None;
+        self.watch.moved(now);
         self.watch(None);
     }
 }
