Test of calls held back by a wait: list the second endpoint once the first is busy

The test counted on the list's order for its first call; since each sender has its own order, either endpoint may be taken first. What is checked stays the same.

--- a/crates/cranehill/tests/told_wait.rs
+++ b/crates/cranehill/tests/told_wait.rs
@@ -38,18 +38,34 @@
     .expect("partner");
     let (second, fill) = full_listener();
     let address = second.local_addr().expect("an address");
-    let platform = platform();
     let third = StandIn::new(|_, _| Reply::status(200)).expect("partner");
-    let endpoints = [
+    let (a, b, c) = (
         ("a", first.address, 7, "station"),
         ("b", address, 7, "station"),
         ("c", third.address, 99, "station"),
-    ];
-    let sender = start(&list(1, &endpoints), &platform);
+    );
+    // The second endpoint is listed once the first is busy: else either might be taken first.
+    let added = Arc::new(AtomicBool::new(false));
+    let add = added.clone();
+    let whole = list(2, &[a, b, c]);
+    let platform = StandIn::new(move |request, _| match request.path.as_str() {
+        "/v1/notices" => Reply::status(204),
+        path if path.contains("from=1&") => {
+            while !add.load(Ordering::Relaxed) {
+                std::thread::sleep(Duration::from_millis(5));
+            }
+            Reply::Bytes(cranehill_daemon::http::write_response(200, "OK", &[], &whole))
+        }
+        _ => Reply::Silent,
+    })
+    .expect("platform");
+    let sender = start(&list(1, &[a, c]), &platform);
     let mut client = Client::new(sender.clients);
     let names = "c=episode-notice,d=20000,k=aa,dest=7";
     assert_eq!(client.put("m1", names, b"x"), "+OK");
     assert!(first.wait_for(1, SOON));
+    added.store(true, Ordering::Relaxed);
+    assert!(platform.wait_for(2, SOON), "the watch that continues from the new list");
     // The first endpoint is busy, so this goes to the second, whose connection does not come up yet.
     assert_eq!(client.put("m2", names, b"y"), "+OK");
     std::thread::sleep(Duration::from_millis(100));
