Read the directory's list entry by entry, and refuse an impossible number of senders

One row that could not be read (no id, an unknown state, a weight of null) had the whole list thrown away, with what it told of drains; a number of senders of 0 was taken as 1 in every division, and of billions gave each a part of nothing.

An entry that can't be read is left out and logged with its place; a list of which no entry can be read is an error and the last list is kept, since as a whole list it would leave no endpoint. A weight that is no number above zero is unused.

--- a/crates/cranehill/tests/cli.rs
+++ b/crates/cranehill/tests/cli.rs
@@ -1,5 +1,7 @@
 //! The command line: what it prints and how it exits.
 
+mod common;
+
 use std::io::Write;
 use std::path::Path;
 use std::process::{Command, Output};
@@ -73,3 +75,29 @@
     }
     assert!(text(&run(&["version"]).stdout).starts_with("cranehill "));
 }
+
+/// Of no sender or of billions, a part of a limit would be all of it or nothing.
+#[test]
+fn a_number_of_senders_that_cannot_be_is_an_error_with_its_place() {
+    let state = tempfile::tempdir().expect("a folder");
+    let good = common::config_text(&common::list(1, &[]));
+    for (senders, why) in [
+        (r#""nInstances":0"#, "settings.nInstances: 0 senders"),
+        (r#""nInstances":4000000000"#, "settings.nInstances: 4000000000 senders"),
+        (r#""nInstances":-1"#, "invalid value"),
+        (r#""others":1"#, "missing field `nInstances`"),
+    ] {
+        let config = file(&good.replace(r#""nInstances":1"#, senders));
+        let out = Command::new(env!("CARGO_BIN_EXE_cranehill"))
+            .arg("serve")
+            .env("NODE_CONFIG", config.path())
+            .env("NODE_LISTEN", "127.0.0.1:0")
+            .env("NODE_DISCOVERY", "127.0.0.1:1")
+            .env("NODE_STATE", state.path())
+            .output()
+            .expect("it runs");
+        let said = text(&out.stderr);
+        assert_eq!((out.status.code(), said.lines().count()), (Some(2), 1), "{senders}: {said}");
+        assert!(said.contains(why), "{senders}: {said}");
+    }
+}
--- a/crates/daemon/src/directory.rs
+++ b/crates/daemon/src/directory.rs
@@ -22,6 +22,26 @@
     pub servers: Vec<Row>,
 }
 
+/// A list as it is read off the wire: an entry that can't be read must not cost the others.
+#[derive(Debug, Deserialize)]
+struct Loose {
+    version: u64,
+    #[serde(default)]
+    full: bool,
+    servers: Vec<serde_json::Value>,
+}
+
+/// What an answer of the directory tells.
+#[derive(Debug)]
+pub struct Told {
+    pub version: u64,
+    /// All endpoints there are; else what has changed.
+    pub whole: bool,
+    pub list: Vec<Listing>,
+    /// Why an entry could not be read, for each of them.
+    pub unread: Vec<String>,
+}
+
 #[derive(Debug, Deserialize)]
 pub struct Row {
     id: String,
@@ -32,8 +52,9 @@
     kind: String,
     cell: u64,
     state: String,
+    /// Unused unless it is a number above zero.
     #[serde(default)]
-    weight: f64,
+    weight: serde_json::Value,
 }
 
 impl List {
@@ -59,7 +80,7 @@
                 zone: place(&site.names.zones, &self.zone).unwrap_or(0) as u32,
                 // A kind that the settings don't name is taken as one that batches nothing.
                 kind: place(&site.names.kinds, &self.kind).unwrap_or(usize::MAX),
-                rate: self.weight,
+                rate: self.weight.as_f64().filter(|w| w.is_finite() && *w > 0.0).unwrap_or(0.0),
             },
             address: self.addr,
         })
@@ -77,10 +98,76 @@
     http::write_request("GET", &path, host, &[], b"")
 }
 
-/// The list in an answer.
-pub fn read(response: &http::Response) -> Result<List, String> {
+/// The list in an answer. An entry that can't be read is left out and told; a list of which none can be read is an error,
+/// since as a whole list it would leave no endpoint at all.
+pub fn read(response: &http::Response, site: &Site) -> Result<Told, String> {
     if response.status != 200 {
         return Err(format!("the directory answered {}", response.status));
     }
-    serde_json::from_slice(&response.body).map_err(|e| e.to_string())
+    let loose: Loose = serde_json::from_slice(&response.body).map_err(|e| e.to_string())?;
+    let (mut list, mut unread) = (Vec::new(), Vec::new());
+    for (place, entry) in loose.servers.into_iter().enumerate() {
+        let row = serde_json::from_value::<Row>(entry).map_err(|e| e.to_string());
+        match row.and_then(|row| row.into_listing(site)) {
+            Ok(listing) => list.push(listing),
+            Err(why) => unread.push(format!("entry {place}: {why}")),
+        }
+    }
+    match unread.first() {
+        Some(why) if list.is_empty() => Err(why.clone()),
+        _ => Ok(Told { version: loose.version, whole: loose.full, list, unread }),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use tansycroft::profile::Profile;
+
+    use super::*;
+
+    fn site() -> Site {
+        let profile: Profile = serde_json::from_str(
+            r#"{"classes":[{"name":"n","aim":1,"deadline":2,"effect":"safe","worth":1.0}],
+            "familyInfo":{"callsOut":4},"membershipMode":"push","nInstances":300,"tick":1,"rules":{},
+            "policyLimits":{"attemptsCap":6,"connIdle":1,"connectTimeout":1,"maxRetryAfter":1,"mostHeld":9}}"#,
+        )
+        .expect("a profile");
+        let names = profile.names();
+        Site::new(profile.into_settings().expect("settings"), names)
+    }
+
+    fn told(servers: &str) -> Result<Told, String> {
+        let body = format!(r#"{{"version":4,"full":true,"servers":[{servers}]}}"#);
+        let bytes = http::write_response(200, "OK", &[], &body);
+        let (response, _) = http::response(&bytes, true).expect("an answer").expect("whole");
+        read(&response, &site())
+    }
+
+    const GOOD: &str = r#"{"id":"a","addr":"127.0.0.1:1","cell":1,"state":"up","weight":2.5}"#;
+
+    /// One row that could not be read had the whole list thrown away, and with it what it told of drains.
+    #[test]
+    fn an_entry_that_cannot_be_read_costs_no_other() {
+        for bad in
+            [r#"{"id":"b"}"#, "7", r#"{"id":"b","addr":"x","cell":1,"state":"odd"}"#, r#"{"cell":"x"}"#]
+        {
+            let told = told(&format!("{bad},{GOOD}")).expect("a list");
+            assert_eq!((told.list.len(), told.unread.len()), (1, 1), "{bad}");
+            assert!(told.unread[0].starts_with("entry 0: "), "{:?}", told.unread);
+            assert_eq!(told.list[0].entry.endpoint.0, "a");
+        }
+        // Nothing that can be read must not become a whole list of nothing; an empty one is one.
+        assert!(super::tests::told("7,8").is_err());
+        assert!(super::tests::told("").expect("a list").list.is_empty());
+    }
+
+    #[test]
+    fn a_weight_that_is_no_rate_is_left_unused() {
+        for (weight, rate) in
+            [("2.5", 2.5), ("0", 0.0), ("-3", 0.0), ("null", 0.0), (r#""NaN""#, 0.0), ("[]", 0.0)]
+        {
+            let row = GOOD.replace("2.5", weight);
+            assert_eq!(told(&row).expect("a list").list[0].entry.rate, rate, "{weight}");
+        }
+    }
 }
--- a/crates/daemon/src/reactor/platform.rs
+++ b/crates/daemon/src/reactor/platform.rs
@@ -61,12 +61,11 @@
     }
 
     pub(super) fn on_list(&mut self, response: &http::Response) {
-        let read = directory::read(response).and_then(|list| {
-            let (version, whole) = (list.version, list.full);
-            list.into_listings(&self.site).map(|list| (version, whole, list))
-        });
-        match read {
-            Ok((version, whole, mut list)) => {
+        match directory::read(response, &self.site) {
+            Ok(directory::Told { version, whole, mut list, unread }) => {
+                if let Some(why) = unread.first() {
+                    log::error!(entries = unread.len(); "directory: {} entries left out, {why}", unread.len());
+                }
                 self.watch.answered(self.clock.now(), version);
                 if !list.is_empty() || whole {
                     log::info!(
--- a/src/profile.rs
+++ b/src/profile.rs
@@ -6,6 +6,10 @@
 
 use crate::api::{Class, Decay, DedupScope, Effect, Kind, Rules, Settings, Tenant};
 
+/// More senders than this are taken for a mistake: of a limit of a thousand calls a second, each would have less than one
+/// in 100 s, far beyond the life of any message.
+const SENDERS_MOST: u32 = 100_000;
+
 fn ns(n: u64) -> Duration {
     Duration::from_nanos(n)
 }
@@ -134,6 +138,10 @@
 
     /// The settings as the decisions use them.
     pub fn into_settings(self) -> Result<Settings, String> {
+        if !(1..=SENDERS_MOST).contains(&self.n_instances) {
+            let n = self.n_instances;
+            return Err(format!("settings.nInstances: {n} senders; it must be 1 to {SENDERS_MOST}"));
+        }
         let classes = self.classes.into_iter().map(WireClass::into_class).collect::<Result<Vec<_>, _>>()?;
         let family = self.family_info;
         let count = family.per_call.len().max(family.kind_apart.len());
