--- a/crates/cranehill/tests/parsers.rs
+++ b/crates/cranehill/tests/parsers.rs
@@ -182,8 +182,8 @@
     assert_eq!((b.entry.condition, b.address.as_str()), (Condition::Ready, "127.0.0.1:2"));
     let bad = known.replace("draining", "asleep");
     assert!(config::parse(&common::config_text(&bad), |_| Some("127.0.0.1:1".into())).is_err());
-    assert!(directory::read(&response("HTTP/1.1 503 No\r\n\r\n")).is_err());
-    assert!(directory::read(&response("HTTP/1.1 200 OK\r\n\r\n{}")).is_err());
+    assert!(directory::read(&response("HTTP/1.1 503 No\r\n\r\n"), &config.site).is_err());
+    assert!(directory::read(&response("HTTP/1.1 200 OK\r\n\r\n{}"), &config.site).is_err());
 }
 
 const NGINX: &str = r#"
