Test: 300 senders do not topple a partner that returns cold

Counted over all senders against the rule, with the site's figures (23% on return, warm in 9.1 s, 1.5 times for 3 s) and no slack.

--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -18,13 +18,25 @@
 /// Many senders with two slots, one message every `every` ms each, in turn. `answer(ms, endpoint, calls so far in this second)`
 /// decides how each call ends, 50 ms later. Returns the calls to each endpoint as (ms, endpoint, served).
 fn fleet(
+    senders: u64,
+    entries: &[Entry],
+    every: u64,
+    until: u64,
+    answer: impl FnMut(u64, &str) -> Answer,
+) -> Vec<(u64, String, bool)> {
+    fleet_of(settings(), senders, entries, every, until, answer)
+}
+
+/// As [`fleet`], with these settings for all that is not a sender's size.
+fn fleet_of(
+    set: Settings,
     senders: u64,
     entries: &[Entry],
     every: u64,
     until: u64,
     mut answer: impl FnMut(u64, &str) -> Answer,
 ) -> Vec<(u64, String, bool)> {
-    let set = Settings { instances: senders as u32, slots: 2, most_held: 16, attempts_cap: 12, ..settings() };
+    let set = Settings { instances: senders as u32, slots: 2, most_held: 16, attempts_cap: 12, ..set };
     let mut all: Vec<Sender> = (0..senders)
         .map(|i| {
             let mut sender = Sender::new(set.clone(), i, Time(0)).expect("settings");
@@ -176,3 +188,47 @@
         assert!(sent >= 1, "{rate} {left} {limit}");
     }
 }
+
+/// Days with 300 senders: an outage of 5 s, then a cold return, at a limit that answers tell. The rule on returning
+/// partners is counted over all senders: no window of its span gets more than its multiple of what can be done then.
+#[test]
+fn three_hundred_senders_do_not_topple_a_partner_that_returns_cold() {
+    // As the operators' sites have them.
+    let (cold_from, cold, fall_multiple) = (0.23, Duration::from_millis(9_100), 1.5);
+    let rules = Rules { cold_from, cold, fall_multiple, fall: Duration::from_secs(3), ..settings().rules };
+    let set = Settings { rules, ..settings() };
+    let (limit, capacity) = (120.0, 168.0);
+    let (down, back) = (8_000, 13_000);
+    let (mut left, mut at) = (60.0, 0);
+    let calls = fleet_of(set, 300, &[entry("a", 1, Condition::Ready, 0)], 2_500, 40_000, |ms, _| {
+        if (down..back).contains(&ms) {
+            return (Status::NoConnection, 0, None);
+        }
+        left = f64::min(left + limit * (ms - at) as f64 / 1000.0, limit / 2.0);
+        at = ms;
+        let report = Some(Report { left: left / (limit / 2.0), limit });
+        if left < 1.0 {
+            return (Status::Refused, 0, report);
+        }
+        left -= 1.0;
+        (Status::Served, 0, report)
+    });
+    let span = rules.fall.as_millis() as u64;
+    for from in (back..back + rules.cold.as_millis() as u64).step_by(50) {
+        let sent = calls.iter().filter(|c| (from..from + span).contains(&c.0)).count();
+        let can: f64 = (from..from + span)
+            .map(|ms| {
+                let warm = ((ms - back) as f64 / 1000.0 / rules.cold.as_secs_f64()).min(1.0);
+                capacity * (rules.cold_from + (1.0 - rules.cold_from) * warm) / 1000.0
+            })
+            .sum();
+        assert!(
+            (sent as f64) <= rules.fall_multiple * can,
+            "{sent} calls from {from} ms, {can:.0} can be done"
+        );
+    }
+    // It is taken up again, and before the outage the limit was used.
+    let served = |from, to| calls.iter().filter(|c| c.2 && (from..to).contains(&c.0)).count();
+    assert!(served(3_000, 8_000) >= 450, "{} of 600 before", served(3_000, 8_000));
+    assert!(served(27_000, 37_000) >= 900, "{} of 1200 after", served(27_000, 37_000));
+}
