Ask for the whole list after changes of which some could not be read

Found on rereading: a change left out as unreadable was lost for good, since the version went on past it; if it told of a drain, the rule would be broken. The next question is now for all of the list, where such an entry counts as gone.

--- a/crates/daemon/src/reactor/platform.rs
+++ b/crates/daemon/src/reactor/platform.rs
@@ -67,6 +67,9 @@
                     log::error!(entries = unread.len(); "directory: {} entries left out, {why}", unread.len());
                 }
                 self.watch.answered(self.clock.now(), version);
+                if !whole && !unread.is_empty() {
+                    self.watch.missed();
+                }
                 if !list.is_empty() || whole {
                     log::info!(
                         "directory: version {version}, {} endpoints{}",
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -70,6 +70,12 @@
         (self.version, self.whole, self.failed) = (version, false, 0);
     }
 
+    /// Of the changes that were answered some could not be read, and they are not told again: all of the list is asked for,
+    /// in which what can't be read is not named, so that nothing goes to an endpoint that may be draining.
+    pub fn missed(&mut self) {
+        self.whole = true;
+    }
+
     /// A question failed: the pause before the next, no shorter than a wait that was told. Guards a directory that is
     /// asked by all at once, as after a release: questions that come faster than they can be answered wait until they
     /// are worth nothing, and where each is put again soon, nobody hears of what has changed.
@@ -178,6 +184,20 @@
         }
     }
 
+    /// The version goes on past a change that could not be read: by itself the watch would never hear of it again.
+    #[test]
+    fn after_changes_that_could_not_be_read_the_whole_list_is_asked_for_once() {
+        let mut watch = watch(2, 7);
+        let mut question = |ms| String::from_utf8(watch.ask(at(ms), "d")).expect("text");
+        assert!(question(0).contains("from=7"));
+        watch.answered(at(3), 8);
+        watch.missed();
+        let mut question = |ms| String::from_utf8(watch.ask(at(ms), "d")).expect("text");
+        assert!(question(3).starts_with("GET /v1/endpoints HTTP"));
+        watch.answered(at(4), 8);
+        assert!(String::from_utf8(watch.ask(at(4), "d")).expect("text").contains("from=8"));
+    }
+
     #[test]
     fn an_answer_is_followed_at_once_unless_the_watch_is_not_held() {
         let mut watch = watch(2, 7);
