Return what may have run only while its window is open at the wait told

Seen: in the test of a mass restart a notice had its 200 as its sender was killed, was crowded out until its deadline, and was returned; a client that hands it in again past the window has it run twice. Checked and ruled out before: a crash, a late rig, two attempts at once. Now the instant at which the client is told to come must lie in the window, else the end is failed; a safe class stays harmless, as the operators' rule on effects says. may_repeat and give_up share the one check.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -742,19 +742,17 @@
 
     /// The final answer for a message given up on: refused where another try is harmless, else failed.
     fn give_up(&mut self, number: u64) {
-        let Some(message) = self.messages.get(&number) else { return };
-        let class = &self.set.classes[message.class];
-        let repeats =
-            class.effect == Effect::Safe || class.effect == Effect::Keyed && class.dedup == DedupScope::All;
-        let harmless = message.maybe_ran.is_none() || repeats;
-        let (id, verdict) = (message.id.clone(), message.verdict);
-        self.acts.push(if harmless && verdict != Some(Status::Rejected) {
-            let again = self.set.retry_after && verdict.is_none();
-            let after = again.then_some(self.set.max_retry_after / 2);
-            Action::Refuse { id, after }
-        } else {
-            Action::Fail(id)
-        });
+        let Some(m) = self.messages.get(&number) else { return };
+        let class = &self.set.classes[m.class];
+        let (id, verdict) = (m.id.clone(), m.verdict);
+        let again = self.set.retry_after && verdict.is_none();
+        let after = again.then_some(self.set.max_retry_after / 2);
+        // Who is told to come again comes to any endpoint, after that wait.
+        let anywhere = class.effect == Effect::Safe || class.dedup == DedupScope::All;
+        let harmless =
+            (m.maybe_ran.is_none() || anywhere) && self.harmless(m, self.now + after.unwrap_or_default());
+        let refused = harmless && verdict != Some(Status::Rejected);
+        self.acts.push(if refused { Action::Refuse { id, after } } else { Action::Fail(id) });
         self.close(number);
     }
 
@@ -786,16 +784,19 @@
         }
     }
 
-    /// Whether a further attempt keeps the rule on effects, wherever it goes.
+    /// Whether a further attempt keeps the rules, wherever it goes.
     fn may_repeat(&self, m: &Message) -> bool {
+        m.attempts < self.set.attempts_cap && m.verdict.is_none() && self.harmless(m, self.now)
+    }
+
+    /// Whether this message may come to its destination at `at`, though it may have run.
+    fn harmless(&self, m: &Message, at: Time) -> bool {
         let class = &self.set.classes[m.class];
-        m.attempts < self.set.attempts_cap
-            && m.verdict.is_none()
-            && m.maybe_ran.is_none_or(|(sent, _)| match class.effect {
-                Effect::Safe => true,
-                Effect::Keyed => self.now < sent + class.window,
-                Effect::Unsafe => false,
-            })
+        m.maybe_ran.is_none_or(|(sent, _)| match class.effect {
+            Effect::Safe => true,
+            Effect::Keyed => at < sent + class.window,
+            Effect::Unsafe => false,
+        })
     }
 
     /// What a message earns if it is answered at `at`.
