Operators' address: ready, lame duck, detach and attach counted over lists and restarts

A listener of its own in the one loop, its events before all others of a turn, with nine descriptors kept free, eight callers held and each for 2 s; a pure reading of calls; the fleet's view moves to the same module. Detachments are the reducer's (core/detach.rs), over whatever is listed, written to the folder before the yes. An attached endpoint gets this sender's part of what a cold one may take.

Found by its test: all of 300 senders that save at one pace had a whole call at one moment (300 calls of 194 in 2 s); the start is drawn now, and three first calls go at once over all senders. Found by the socket test: with thin traffic the first call waited 17 s.

--- /dev/null
+++ b/crates/core/src/detach.rs
@@ -0,0 +1,119 @@
+//! Endpoints that operators have taken out: whatever the directory says of them, they drain until they are attached as often
+//! as they were detached; then they come back as cold ones.
+
+use std::collections::BTreeMap;
+
+use tansycroft::Time;
+use tansycroft::api::{Condition, EndpointId, Entry, Event};
+
+use crate::effect::Effect;
+use crate::reducer::Core;
+
+/// Names kept at most: an operator works on a few endpoints, and each name takes room in the folder.
+pub const MOST: usize = 64;
+/// An id longer than this is nobody's.
+const ID_MOST: usize = 128;
+
+#[derive(Debug, Default)]
+pub(crate) struct Detached {
+    /// How often each was detached, and when it was last listed or asked for.
+    counts: BTreeMap<EndpointId, (u32, Time)>,
+    /// Attached, and since then on the way back.
+    returning: BTreeMap<EndpointId, Time>,
+}
+
+impl Detached {
+    /// What the decisions are to know of an entry.
+    pub(crate) fn over(&mut self, now: Time, mut entry: Entry) -> Entry {
+        if let Some((_, seen)) = self.counts.get_mut(&entry.endpoint) {
+            *seen = now;
+            if entry.condition == Condition::Ready {
+                entry.condition = Condition::Draining;
+            }
+        }
+        entry
+    }
+
+    /// Forgets what is not listed any more, and has not been for long: under that id nobody comes back.
+    pub(crate) fn forget(&mut self, now: Time, listed: impl Fn(&EndpointId) -> bool) {
+        self.counts.retain(|id, (_, seen)| {
+            if listed(id) {
+                *seen = now;
+            }
+            now - *seen < super::list::FORGOTTEN
+        });
+        self.returning.retain(|id, _| listed(id));
+    }
+
+    fn told(&self) -> Vec<(String, u32)> {
+        self.counts.iter().map(|(id, (times, _))| (id.0.clone(), *times)).collect()
+    }
+}
+
+impl Core {
+    /// An operator detaches an endpoint, or attaches it again.
+    pub(crate) fn on_detach(&mut self, by: usize, endpoint: String, back: bool) -> Vec<Effect> {
+        let (now, id) = (self.now, EndpointId(endpoint));
+        let listed = self.list.contains_key(&id);
+        let room = self.detached.counts.len() < MOST && id.0.len() <= ID_MOST;
+        let known = match self.detached.counts.get_mut(&id) {
+            Some((times, _)) if back && *times > 1 => {
+                *times -= 1;
+                true
+            }
+            Some(_) if back => self.detached.counts.remove(&id).is_some(),
+            Some((times, seen)) => {
+                (*times, *seen) = (times.saturating_add(1), now);
+                true
+            }
+            None if back || !listed || !room => false,
+            None => self.detached.counts.insert(id.clone(), (1, now)).is_none(),
+        };
+        let counts = self.detached.told();
+        // What stands connected is of the endpoint as it was: it may be restarted before it is attached.
+        let mut effects = vec![Effect::Detached { by, known, counts }];
+        if known && listed {
+            effects.insert(0, Effect::CloseIdle(id.clone()));
+            let out = self.detached.counts.contains_key(&id);
+            if out {
+                self.detached.returning.remove(&id);
+                effects.insert(0, Effect::HoldBack { endpoints: vec![id.clone()] });
+            } else {
+                self.detached.returning.insert(id.clone(), now);
+                self.sender.bar_endpoint(&id);
+            }
+            self.tell_listed(&id);
+        }
+        effects
+    }
+
+    /// What an earlier life of this sender had detached.
+    pub fn detached_before(&mut self, counts: impl IntoIterator<Item = (String, u32)>) {
+        let sound = |(id, times): &(String, u32)| *times > 0 && id.len() <= ID_MOST;
+        for (id, times) in counts.into_iter().filter(sound).take(MOST) {
+            let id = EndpointId(id);
+            self.detached.counts.insert(id.clone(), (times, self.now));
+            self.tell_listed(&id);
+        }
+    }
+
+    fn tell_listed(&mut self, id: &EndpointId) {
+        let Some(listed) = self.list.get(id) else { return };
+        let entry = self.detached.over(self.now, listed.endpoint.clone());
+        self.events.push(Event::List { whole: false, entries: vec![entry] });
+    }
+
+    /// Before the decisions of a turn: lets in what may go to endpoints on their way back.
+    pub(crate) fn look_at_returning(&mut self) {
+        let (now, cold) = (self.now, self.cold());
+        let detached = &mut self.detached;
+        for (id, since) in std::mem::take(&mut detached.returning) {
+            if now - since >= cold {
+                self.sender.unbar_endpoint(&id);
+                continue;
+            }
+            self.sender.admit_endpoint(now, &id, since);
+            detached.returning.insert(id, since);
+        }
+    }
+}
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -57,6 +57,12 @@
     Full(Duration),
     /// A zone is left, tried or returned to, by the whole fleet.
     Zone(cranehill_zones::Change),
+    /// Keep how often each endpoint is detached now, then answer the operator; `known` is false where nothing was done.
+    Detached {
+        by: usize,
+        known: bool,
+        counts: Vec<(String, u32)>,
+    },
     /// Of the fleet's members.
     Fleet(membership::Effect),
 }
--- a/crates/core/src/input.rs
+++ b/crates/core/src/input.rs
@@ -49,6 +49,12 @@
     Stopping,
     /// What an earlier life had learnt of partners, as [`crate::Effect::Remember`] wrote it.
     Remembered(Vec<u8>),
+    /// An operator takes an endpoint out, or has it `back`; answered by [`crate::Effect::Detached`].
+    Detach {
+        by: usize,
+        endpoint: String,
+        back: bool,
+    },
     /// Of the fleet's members, where this sender takes part ([`crate::Core::join`]).
     Fleet(membership::Input),
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 #![forbid(unsafe_code)]
 
 pub mod breakage;
+mod detach;
 mod effect;
 mod ended;
 mod input;
--- a/crates/core/src/list.rs
+++ b/crates/core/src/list.rs
@@ -11,7 +11,7 @@
 use crate::reducer::{Core, Listed};
 
 /// A partner that is no longer listed is known for so long.
-const FORGOTTEN: Duration = Duration::from_secs(600);
+pub(crate) const FORGOTTEN: Duration = Duration::from_secs(600);
 
 impl Core {
     pub(crate) fn on_listed(&mut self, whole: bool, list: Vec<Listing>) -> Vec<Effect> {
@@ -31,7 +31,7 @@
             if entry.condition != Condition::Ready {
                 hold_back.push(entry.endpoint.clone());
             }
-            entries.push(entry.clone());
+            entries.push(self.detached.over(self.now, entry.clone()));
             self.list.insert(entry.endpoint.clone(), Listed { endpoint: entry, address });
         }
         // What has gone must not be kept: on a long day the directory names endpoints without end.
@@ -43,6 +43,7 @@
             self.known.insert(partner.endpoint.dest.0, self.now);
         }
         let now = self.now;
+        self.detached.forget(now, |id| self.list.contains_key(id));
         self.known.retain(|_, listed| now - *listed < FORGOTTEN);
         self.events.push(Event::List { whole, entries });
         self.count_zones();
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -12,6 +12,7 @@
 use tansycroft::{Sender, SettingsError, Time};
 
 use crate::breakage::{self, Breakage};
+use crate::detach::Detached;
 use crate::effect::{Attempt, Effect, Record};
 use crate::ended::Ended;
 use crate::input::{AttemptEnd, Input, Kept};
@@ -80,6 +81,7 @@
     pub(crate) recovery: Option<Recovery>,
     /// Zones as the fleet sees them, where it leaves and returns together.
     pub(crate) zones: Option<Zones>,
+    pub(crate) detached: Detached,
     /// What the members said when it was looked at last.
     said: Vec<(std::net::SocketAddr, Vec<u8>)>,
     pub breaches: Breaches,
@@ -121,6 +123,7 @@
             members: None,
             recovery: None,
             zones: None,
+            detached: Detached::default(),
             said: Vec::new(),
             breaches: Breaches::default(),
         })
@@ -175,6 +178,7 @@
                 Vec::new()
             }
             Input::Fleet(input) => self.on_fleet(input),
+            Input::Detach { by, endpoint, back } => self.on_detach(by, endpoint, back),
             Input::Stopping => {
                 if breakage::is(Breakage::LeaksAtStop) {
                     let now = self.now.0;
@@ -324,7 +328,6 @@
                         if end.status == Status::Served { Answer::Delivered } else { Answer::Failed };
                     self.deferred.push(Effect::Answer { to: held.notice.from, id, answer });
                 } else {
-                    self.remember(&id);
                     let until = self.remember(&id).0;
                     self.records.push(Record::Over { id, until });
                 }
@@ -349,6 +352,11 @@
         until
     }
 
+    /// How long a returning endpoint is cold.
+    pub(crate) fn cold(&self) -> Duration {
+        self.set.rules.cold
+    }
+
     /// How long a notice lasts at most.
     pub(crate) fn longest(&self) -> Duration {
         self.set.classes.iter().map(|c| c.deadline).max().unwrap_or_default()
@@ -358,6 +366,7 @@
     fn on_turn_over(&mut self) -> Vec<Effect> {
         let events = std::mem::take(&mut self.events);
         let zoned = self.look_at_zones();
+        self.look_at_returning();
         let (mut actions, events) = self.recall(events);
         actions.extend(self.sender.handle(self.now, events));
         let mut calls: Vec<(EndpointId, String, Vec<Attempt>)> = Vec::new();
--- a/crates/cranehill/src/rehearsal.rs
+++ b/crates/cranehill/src/rehearsal.rs
@@ -368,6 +368,7 @@
         known_version: 0,
         known: Vec::new(),
         fleet: None,
+        operator: None,
         push: Some(file),
         sockets: 1024,
         memory: 192_000_000,
--- a/crates/cranehill/tests/common/mod.rs
+++ b/crates/cranehill/tests/common/mod.rs
@@ -61,12 +61,16 @@
 /// A sender in this process.
 pub struct Running {
     pub clients: SocketAddr,
+    pub operator: Option<SocketAddr>,
     halter: Halter,
+    thread: Option<std::thread::JoinHandle<std::io::Result<()>>>,
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
         self.halter.halt();
+        // Its folder is another's from now on.
+        drop(self.thread.take().map(std::thread::JoinHandle::join));
     }
 }
 
@@ -76,8 +80,13 @@
 
 /// With so many descriptors.
 pub fn start_with(known: &str, platform: &StandIn, sockets: usize) -> Running {
+    start_as(known, platform, |setup| setup.sockets = sockets)
+}
+
+/// With whatever is to be otherwise.
+pub fn start_as(known: &str, platform: &StandIn, change: impl FnOnce(&mut Setup)) -> Running {
     let config = config(known, platform.address);
-    let mut reactor = Reactor::new(Setup {
+    let mut setup = Setup {
         site: config.site,
         seed: config.seed,
         state: None,
@@ -86,16 +95,19 @@
         known_version: config.known_version,
         known: config.known,
         fleet: None,
+        operator: None,
         push: None,
-        sockets,
+        sockets: 1024,
         memory: 192_000_000,
         reread: None,
-    })
-    .expect("the sender starts");
+    };
+    change(&mut setup);
+    let mut reactor = Reactor::new(setup).expect("the sender starts");
     let clients = reactor.addresses().0.expect("it listens");
+    let operator = reactor.operator_address();
     let halter = reactor.halter().expect("halter");
-    std::thread::spawn(move || reactor.run(Vec::new));
-    Running { clients, halter }
+    let thread = Some(std::thread::spawn(move || reactor.run(Vec::new)));
+    Running { clients, operator, halter, thread }
 }
 
 /// A program of a station that hands notices in.
--- a/crates/cranehill/tests/reload.rs
+++ b/crates/cranehill/tests/reload.rs
@@ -39,6 +39,7 @@
         known_version: config.known_version,
         known: config.known,
         fleet: None,
+        operator: None,
         push: None,
         sockets: 1024,
         memory: 192_000_000,
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -56,6 +56,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators reach this sender.
+    pub operator: Option<SocketAddr>,
     pub state: PathBuf,
     pub seed: u64,
     pub limits: Limits,
@@ -70,6 +72,7 @@
     name: String,
     listen: Option<String>,
     discovery: Option<String>,
+    operator: Option<String>,
     #[serde(default)]
     seed: serde_json::Value,
     #[serde(default)]
@@ -109,9 +112,16 @@
         Some(list) => (list.version, list.into_listings(&site)?),
         None => (0, Vec::new()),
     };
+    let listen = address("listen", var("NODE_LISTEN").or(file.listen))?;
+    let operator = var("NODE_OPERATOR").or(file.operator).filter(|o| !o.is_empty());
+    let operator = operator.map(|text| address("operator", Some(text))).transpose()?;
+    if operator.is_some_and(|o| o == listen && o.port() != 0) {
+        return Err(format!("operator: {listen} is where clients connect (listen)"));
+    }
     Ok(Config {
         name: var("NODE_NAME").unwrap_or(file.name),
-        listen: address("listen", var("NODE_LISTEN").or(file.listen))?,
+        listen,
+        operator,
         discovery: address("discovery", var("NODE_DISCOVERY").or(file.discovery))?,
         state: var("NODE_STATE").ok_or("NODE_STATE: not set")?.into(),
         seed,
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -2,6 +2,7 @@
 //! `clients`, `partners`, `directory`, `closing` and `webpush` each say how one peer speaks, without I/O.
 #![forbid(unsafe_code)]
 
+mod beside;
 pub mod clients;
 pub mod closing;
 pub mod config;
@@ -9,7 +10,6 @@
 mod file;
 pub mod fleet;
 pub mod http;
-mod learnt;
 mod link;
 pub mod partners;
 pub mod reactor;
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -37,8 +37,10 @@
     },
     Directory,
     Closing,
-    /// An operator who asks for the view of the fleet.
-    Status,
+    /// An operator; `all` calls are here, or the view of the fleet alone.
+    Operator {
+        all: bool,
+    },
 }
 
 pub struct Link {
--- a/crates/daemon/src/reactor.rs
+++ b/crates/daemon/src/reactor.rs
@@ -1,11 +1,12 @@
 //! The mio loop: carries out what the core asks for, and tells it what came of it. One thread, no blocking
 //! but in the poll. Everything decided is decided in the core; here are connections, bytes and clocks.
 //! `door` looks after those who hand notices in, `calls` after partners, `platform` after the directory and
-//! the closing reports, `fleet` after the other senders.
+//! the closing reports, `fleet` after the other senders, `operator` after the operators' calls.
 
 mod calls;
 mod door;
 mod fleet;
+mod operator;
 mod platform;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -21,13 +22,13 @@
 use tansycroft::Time;
 use tansycroft::api::{EndpointId, Status};
 
+use crate::beside;
 use crate::clients;
 use crate::closing::{self, Reports};
 use crate::config::Site;
 use crate::directory;
 use crate::fleet::Fleet;
 use crate::http;
-use crate::learnt;
 use crate::link::{ANSWER_MOST, Clock, Link, Out, Role, consume};
 use crate::partners::{self, Told, Verdict};
 use crate::watch::{Failure, Watch};
@@ -44,6 +45,7 @@
 const HALT: Token = Token(3);
 const FLEET: Token = Token(4);
 const STATUS: Token = Token(5);
+const OPERATOR: Token = Token(6);
 const FIRST_LINK: usize = 16;
 /// How long before a partner closes an idle connection we stop trusting it.
 const IDLE_MARGIN: Duration = Duration::from_millis(1000);
@@ -76,6 +78,8 @@
     pub push: Option<webpush::File>,
     /// Where this sender takes part in the fleet.
     pub fleet: Option<Fleet>,
+    /// Where operators reach this sender.
+    pub operator: Option<SocketAddr>,
     pub sockets: usize,
     /// Bytes that the process may use.
     pub memory: usize,
@@ -117,6 +121,9 @@
     fleet: Option<fleet::End>,
     clients: Option<TcpListener>,
     pushes: Option<TcpListener>,
+    operators: Option<TcpListener>,
+    /// Since when operators have this sender emptied.
+    lame: Option<Time>,
     links: BTreeMap<usize, Link>,
     next_link: usize,
     clients_most: usize,
@@ -224,7 +231,7 @@
         log::error!(notices = recovered.doubted;
             "journal: {} open notices count as possibly run because of damage", recovered.doubted);
     }
-    for file in recovered.foreign.iter().filter(|f| !learnt::NAMES.contains(&f.as_str())) {
+    for file in recovered.foreign.iter().filter(|f| !beside::is_ours(f)) {
         log::warn!(file = file.as_str(); "journal: {file} is not of this folder; left alone, it takes room");
     }
     if recovered.carried_over > 0 {
@@ -237,15 +244,20 @@
     /// Takes up what the journal holds, then listens.
     pub fn new(setup: Setup) -> Result<Reactor, String> {
         let Setup { mut site, seed, state, listen, discovery, known_version, known, push, .. } = setup;
-        let (clients_most, partners_most) = places(setup.sockets, site.settings.slots as usize);
+        let operators = setup.operator.map_or(0, |_| operator::MOST + 1);
+        let (clients_most, partners_most) =
+            places(setup.sockets.saturating_sub(operators), site.settings.slots as usize);
         let poll = Poll::new().map_err(|e| format!("poll: {e}"))?;
         let mut clock = Clock::new();
         let (mut journal, mut recovered, mut state_dir) = (None, Recovered::default(), None);
         let remembers = setup.fleet.as_ref().is_some_and(|f| f.recovery.is_some());
         if let Some(mut state) = state {
             state_dir = Some(state.dir.clone());
+            if setup.operator.is_some() {
+                state.disk = state.disk.saturating_sub(beside::DETACHED.disk());
+            }
             if remembers {
-                state.disk = state.disk.saturating_sub(learnt::DISK);
+                state.disk = state.disk.saturating_sub(beside::LEARNT.disk());
             }
             let opened = open_journal(state, millis(clock.now()))?;
             (journal, recovered) = (Some(opened.0), opened.1);
@@ -271,6 +283,9 @@
                 fleet::remembered(state_dir.as_deref(), &mut core, now);
             }
         }
+        if let Some(dir) = state_dir.as_deref() {
+            operator::detached_before(dir, &mut core);
+        }
         tell_recovered(&recovered);
         let found = recovered.records.len();
         let effects = core.step(now, Input::Recovered(std::mem::take(&mut recovered.records)));
@@ -288,6 +303,8 @@
             fleet: fleet_end,
             clients: None,
             pushes: None,
+            operators: None,
+            lame: None,
             links: BTreeMap::new(),
             next_link: FIRST_LINK,
             clients_most,
@@ -331,6 +348,10 @@
             reactor.clients = Some(reactor.listen(address, CLIENTS)?);
             log::info!("listening for clients at {}", shown(&reactor.clients));
         }
+        if let Some(address) = setup.operator {
+            reactor.operators = Some(reactor.listen(address, OPERATOR)?);
+            log::info!("listening for operators at {}", shown(&reactor.operators));
+        }
         if let Some(address) = push_listen {
             reactor.pushes = Some(reactor.listen(address, PUSHES)?);
             log::info!("listening for Web Push at {}", shown(&reactor.pushes));
@@ -353,6 +374,11 @@
         (at(&self.clients), at(&self.pushes))
     }
 
+    /// Where operators reach this sender.
+    pub fn operator_address(&self) -> Option<SocketAddr> {
+        self.operators.as_ref().and_then(|l| l.local_addr().ok())
+    }
+
     pub fn registry(&self) -> &mio::Registry {
         self.poll.registry()
     }
@@ -403,13 +429,17 @@
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
             other => other?,
         }
-        let tokens: Vec<Token> = events.iter().map(|e| e.token()).collect();
+        let mut tokens: Vec<Token> = events.iter().map(|e| e.token()).collect();
+        // Operators wait for nobody: what they ask goes before all that clients and partners have brought.
+        if self.operators.is_some() {
+            tokens.sort_by_key(|t| !self.is_operators(*t));
+        }
         for token in tokens {
             match token {
                 CLIENTS | PUSHES => self.accept(token),
                 SIGNALS | HALT => {}
                 FLEET => self.hear_fleet(),
-                STATUS => self.accept_status(),
+                STATUS | OPERATOR => self.accept_operators(token),
                 Token(link) => self.pump(link),
             }
         }
@@ -417,6 +447,7 @@
             self.pump(link);
         }
         self.timers();
+        self.empty();
         let now = self.clock.now();
         // The decisions run once a tick, as in the simulator: what comes in together is decided together.
         if self.dirty && now - self.last_turn >= self.site.settings.tick {
@@ -454,6 +485,7 @@
         for link in self.links.values() {
             self.link_due(link).into_iter().for_each(&mut consider);
         }
+        self.empty_due(now).into_iter().for_each(&mut consider);
         if let Some(since) = self.stopping {
             consider((now + Duration::from_millis(20)).max(since));
         }
@@ -477,7 +509,7 @@
             Role::Client { busy: false } | Role::Pusher { busy: None, .. } => {
                 Some(link.since + door::patience(link))
             }
-            Role::Status => Some(link.since + fleet::STATUS_PATIENCE),
+            Role::Operator { .. } => Some(link.since + operator::PATIENCE),
             Role::Client { .. } | Role::Pusher { .. } | Role::Closing => None,
         }
     }
@@ -536,6 +568,7 @@
                 }
                 Effect::Fleet(effect) => self.on_fleet(effect),
                 Effect::Zone(change) => fleet::tell_zone(&change, &self.site.names.zones),
+                Effect::Detached { by, known, counts } => self.detached(by, known, &counts),
                 Effect::Remember(bytes) => self.remember(&bytes),
                 Effect::Full(took) => {
                     log::info!(event = "full", took_ms = took.as_millis() as u64;
@@ -627,7 +660,7 @@
             Role::Pusher { .. } => self.on_pusher(id),
             Role::Partner { .. } => self.on_partner(id, !flushed),
             Role::Directory | Role::Closing => self.on_platform(id, !flushed),
-            Role::Status => self.on_status(id),
+            Role::Operator { .. } => self.on_operator(id),
         }
     }
 
@@ -644,7 +677,7 @@
             }
             Role::Directory => self.watch_failed(why, Failure::Unreached),
             Role::Closing => self.report_later(),
-            Role::Partner { .. } | Role::Client { .. } | Role::Pusher { .. } | Role::Status => {}
+            Role::Partner { .. } | Role::Client { .. } | Role::Pusher { .. } | Role::Operator { .. } => {}
         }
     }
 
@@ -719,7 +752,7 @@
             }
             Role::Directory | Role::Closing => self.broken(id, "no answer in time"),
             Role::Client { .. } | Role::Pusher { .. } => self.out_of_patience(id),
-            Role::Partner { .. } | Role::Status => {
+            Role::Partner { .. } | Role::Operator { .. } => {
                 self.drop_link(id);
             }
         }
@@ -741,12 +774,7 @@
             }
             // Between requests only: what has been read is answered first.
             let ids: Vec<usize> = self.links.keys().copied().collect();
-            for id in ids {
-                self.pump(id);
-                if self.links.get(&id).is_some_and(|l| door::free(l) && l.input.is_empty()) {
-                    self.drop_link(id);
-                }
-            }
+            ids.into_iter().for_each(|id| self.end_between(id));
         }
         if passed >= STOP_SENDING && !self.sending_stopped {
             self.sending_stopped = true;
--- a/crates/daemon/src/reactor/door.rs
+++ b/crates/daemon/src/reactor/door.rs
@@ -32,6 +32,10 @@
     }
 }
 
+pub(super) fn of_client(link: &Link) -> bool {
+    matches!(link.role, Role::Client { .. } | Role::Pusher { .. })
+}
+
 /// Whether nothing is open on a client's connection, so that it may end at any time.
 pub(super) fn free(link: &Link) -> bool {
     let waits = matches!(link.role, Role::Client { busy: false } | Role::Pusher { busy: None, .. });
@@ -89,8 +93,7 @@
     /// Guards the places against those who connect and ask nothing, or ask once and stay: when all are taken,
     /// the connection least likely to be used ends. False if each has a request open.
     fn make_place(&mut self) -> bool {
-        let from_clients = |l: &&Link| matches!(l.role, Role::Client { .. } | Role::Pusher { .. });
-        if self.links.values().filter(from_clients).count() < self.clients_most {
+        if self.links.values().filter(|l| of_client(l)).count() < self.clients_most {
             return true;
         }
         self.turned_away += 1;
@@ -143,8 +146,8 @@
             }
             _ => return,
         }
-        // At the end of the process a connection closes between requests.
-        link.close_after |= self.clients.is_none() && self.pushes.is_none();
+        // At the end of the process, and while the sender is emptied, a connection closes between requests.
+        link.close_after |= self.clients.is_none() && self.pushes.is_none() || self.lame.is_some();
         self.say(id, &bytes);
         // Not dealt with here: a client that pipelines what is answered at once would have us call ourselves
         // until the stack is full.
@@ -202,6 +205,12 @@
                 }
             };
             let wrong = match request {
+                clients::Request::Ping if self.lame.is_some() => {
+                    // Who asks is told to send others elsewhere; what comes here all the same is served.
+                    link.close_after = true;
+                    self.say(id, &clients::error("emptying, for operators"));
+                    continue;
+                }
                 clients::Request::Ping => {
                     self.say(id, b"+PONG\r\n");
                     None
@@ -262,8 +271,8 @@
     /// Guards memory against many clients that each leave a large request unfinished.
     fn check_unread(&mut self, id: usize) {
         let much = self.links.get(&id).is_some_and(|l| l.input.len() > MUCH);
-        let client = |l: &&Link| matches!(l.role, Role::Client { .. } | Role::Pusher { .. });
-        let unread = || self.links.values().filter(client).map(|l| l.input.capacity()).sum::<usize>();
+        let unread =
+            || self.links.values().filter(|l| of_client(l)).map(|l| l.input.capacity()).sum::<usize>();
         if much && unread() > self.unread_most {
             log::info!("client: too much unfinished; one that sends more is closed");
             self.out_of_patience(id);
--- a/crates/daemon/src/reactor/fleet.rs
+++ b/crates/daemon/src/reactor/fleet.rs
@@ -12,10 +12,6 @@
 const PACKETS_A_TURN: usize = 64;
 /// Larger than any that a member sends.
 const PACKET_MOST: usize = 2048;
-/// Operators' connections at once: each asks once and ends.
-const STATUS_MOST: usize = 8;
-/// A call of theirs must have come, and its answer been read, in this time.
-pub(super) const STATUS_PATIENCE: Duration = Duration::from_secs(2);
 /// How often the log says that packets are dropped.
 const TELL_REFUSED: Duration = Duration::from_secs(1);
 
@@ -46,6 +42,10 @@
         Ok(End { socket, status, due: Some(now), more: false, dropped: 0, tell_dropped: now })
     }
 
+    pub(super) fn status(&self) -> Option<&TcpListener> {
+        self.status.as_ref()
+    }
+
     pub(super) fn status_at(&self) -> Option<SocketAddr> {
         self.status.as_ref().and_then(|l| l.local_addr().ok())
     }
@@ -53,7 +53,7 @@
 
 /// Tells the core what an earlier life had learnt.
 pub(super) fn remembered(dir: Option<&std::path::Path>, core: &mut Core, now: Time) {
-    match dir.map(learnt::read).transpose() {
+    match dir.map(|dir| beside::LEARNT.read(dir)).transpose() {
         Ok(bytes) => {
             if let Some(bytes) = bytes.flatten() {
                 core.step(now, core::Input::Remembered(bytes));
@@ -195,7 +195,7 @@
     pub(super) fn remember(&mut self, bytes: &[u8]) {
         let Some(dir) = &self.state_dir else { return };
         let now = self.clock.now();
-        if let Err(e) = learnt::write(dir, bytes)
+        if let Err(e) = beside::LEARNT.write(dir, bytes)
             && now >= self.tell_unlearnt
         {
             self.tell_unlearnt = now + TELL_STUCK;
@@ -203,57 +203,7 @@
         }
     }
 
-    pub(super) fn accept_status(&mut self) {
-        loop {
-            let Some(listener) = self.fleet.as_ref().and_then(|f| f.status.as_ref()) else { return };
-            let stream = match listener.accept() {
-                Ok((stream, _)) => stream,
-                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {
-                    continue;
-                }
-                Err(e) => {
-                    if e.kind() != ErrorKind::WouldBlock {
-                        log::error!("fleet: status: {e}");
-                    }
-                    return;
-                }
-            };
-            if self.links.values().filter(|l| matches!(l.role, Role::Status)).count() >= STATUS_MOST {
-                continue;
-            }
-            match self.add_link(stream, Role::Status, true) {
-                Ok(link) => self.pump(link),
-                Err(e) => log::error!("fleet: status: {e}"),
-            }
-        }
-    }
-
-    pub(super) fn on_status(&mut self, id: usize) {
-        let Some(link) = self.links.get_mut(&id) else { return };
-        if !link.close_after {
-            let answer = match http::request(&link.input) {
-                Ok(None) if !link.ended => return,
-                Ok(None) => return drop(self.drop_link(id)),
-                Ok(Some((request, _))) => match (request.method.as_str(), request.path.as_str()) {
-                    ("GET", "/_status") => self.status(),
-                    (_, "/_status") => {
-                        http::write_response(405, "Method Not Allowed", &[("Allow", "GET".into())], "")
-                    }
-                    _ => http::write_response(404, "Not Found", &[], ""),
-                },
-                Err(http::Malformed(why)) => http::write_response(400, "Bad Request", &[], why),
-            };
-            self.say(id, &answer);
-            if let Some(link) = self.links.get_mut(&id) {
-                link.close_after = true;
-            }
-        }
-        if self.links.get(&id).is_some_and(|l| l.written_out() || l.ended) {
-            self.drop_link(id);
-        }
-    }
-
-    fn status(&self) -> Vec<u8> {
+    pub(super) fn status(&self) -> Vec<u8> {
         let Some(members) = self.core.members() else {
             return http::write_response(404, "Not Found", &[], "");
         };
--- /dev/null
+++ b/crates/daemon/src/reactor/operator.rs
@@ -0,0 +1,253 @@
+//! Operators: their calls, one on a connection, at the second address and, for the fleet's view alone, at the fleet's.
+
+use super::*;
+use crate::http::Request;
+use percent_encoding::percent_decode_str;
+use serde_json::json;
+
+/// Operators' connections at once: each asks once and ends.
+pub(super) const MOST: usize = 8;
+/// A call must have come, and its answer been read, in this time. Those who wait for answers do so for 1 s.
+pub(super) const PATIENCE: Duration = Duration::from_secs(2);
+/// From a call to empty this sender until connections end: the front asks every 100 ms whether we take more, and sends
+/// new connections for 200 ms after a no.
+const FRONT: Duration = Duration::from_millis(400);
+/// How often what is left is looked through while the sender empties.
+const LOOK: Duration = Duration::from_millis(20);
+/// A client that has just connected has its request on the way.
+const FRESH: Duration = Duration::from_millis(300);
+
+/// What is asked for. Ids are as they are named, percent signs decoded.
+#[derive(Debug, PartialEq, Eq)]
+enum Call {
+    Ready,
+    Status,
+    LameDuck(bool),
+    Detach(String),
+    Attach(String),
+}
+
+/// Tells the core what an earlier life had detached.
+pub(super) fn detached_before(dir: &std::path::Path, core: &mut Core) {
+    let read = beside::DETACHED.read(dir).map(|bytes| bytes.map(|b| serde_json::from_slice(&b)));
+    match read.map_err(|e| e.to_string()).and_then(|r| r.transpose().map_err(|e| e.to_string())) {
+        Ok(None) => {}
+        Ok(Some(counts)) => {
+            let counts: Vec<(String, u32)> = counts;
+            if !counts.is_empty() {
+                log::info!(event = "detached", endpoints = counts.len(); "operator: detached still: {counts:?}");
+            }
+            core.detached_before(counts);
+        }
+        Err(e) => {
+            log::error!("operator: what was detached can't be read, so all that is listed is used: {e}")
+        }
+    }
+}
+
+fn status(code: u16, reason: &str, headers: &[(&str, String)], body: &str) -> Vec<u8> {
+    let close = [headers, &[("Connection", "close".to_owned())]].concat();
+    http::write_response(code, reason, &close, body)
+}
+
+fn yes() -> Vec<u8> {
+    status(200, "OK", &[], "")
+}
+
+/// Reads a call; else the answer that says what is wrong with it.
+fn read(request: &Request) -> Result<Call, Vec<u8>> {
+    let path = request.path.split('?').next().unwrap_or_default();
+    let id = |text: &str| match percent_decode_str(text).decode_utf8() {
+        Ok(id) if !id.is_empty() => Ok(id.into_owned()),
+        _ => Err(status(400, "Bad Request", &[], "the endpoint's id can't be read\n")),
+    };
+    let (method, call) = match path {
+        "/_ready" => ("GET", Ok(Call::Ready)),
+        "/_status" => ("GET", Ok(Call::Status)),
+        "/_lameduck/on" => ("PUT", Ok(Call::LameDuck(true))),
+        "/_lameduck/off" => ("PUT", Ok(Call::LameDuck(false))),
+        _ => match (path.strip_prefix("/_endpoints/detach/"), path.strip_prefix("/_endpoints/attach/")) {
+            (Some(name), _) => ("PUT", id(name).map(Call::Detach)),
+            (_, Some(name)) => ("PUT", id(name).map(Call::Attach)),
+            _ => return Err(status(404, "Not Found", &[], "no such call\n")),
+        },
+    };
+    if request.method != method {
+        return Err(status(405, "Method Not Allowed", &[("Allow", method.to_owned())], ""));
+    }
+    call
+}
+
+impl Reactor {
+    /// Whether an event is an operator's, and so goes before all others of its turn.
+    pub(super) fn is_operators(&self, token: Token) -> bool {
+        match token {
+            OPERATOR | STATUS => true,
+            Token(link) => self.links.get(&link).is_some_and(|l| matches!(l.role, Role::Operator { .. })),
+        }
+    }
+
+    pub(super) fn accept_operators(&mut self, token: Token) {
+        loop {
+            let listener = match token {
+                OPERATOR => self.operators.as_ref(),
+                _ => self.fleet.as_ref().and_then(fleet::End::status),
+            };
+            let Some(listener) = listener else { return };
+            let stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {
+                    continue;
+                }
+                Err(e) => {
+                    if e.kind() != ErrorKind::WouldBlock {
+                        log::error!("operator: {e}");
+                    }
+                    return;
+                }
+            };
+            // Who holds a place and asks nothing makes room for who comes.
+            let ours = |l: &Link| matches!(l.role, Role::Operator { .. });
+            let held: Vec<usize> = self.links.iter().filter(|(_, l)| ours(l)).map(|(&id, _)| id).collect();
+            if held.len() >= MOST {
+                self.drop_link(held[0]);
+            }
+            match self.add_link(stream, Role::Operator { all: token == OPERATOR }, true) {
+                Ok(link) => self.pump(link),
+                Err(e) => log::error!("operator: {e}"),
+            }
+        }
+    }
+
+    pub(super) fn on_operator(&mut self, id: usize) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        let Role::Operator { all } = link.role else { return };
+        if !link.close_after {
+            let call = match http::request(&link.input) {
+                Ok(None) if !link.ended => return,
+                Ok(None) => return drop(self.drop_link(id)),
+                Ok(Some((request, _))) => read(&request),
+                Err(http::Malformed(why)) => Err(status(400, "Bad Request", &[], why)),
+            };
+            link.close_after = true;
+            match call {
+                Ok(Call::Status) => {
+                    let answer = self.status();
+                    self.say(id, &answer);
+                }
+                Ok(_) if !all => self.say(id, &status(404, "Not Found", &[], "only /_status is here\n")),
+                Ok(Call::Ready) if self.stopping.is_none() && self.lame.is_none() => self.say(id, &yes()),
+                Ok(Call::Ready) => {
+                    self.say(id, &status(503, "Service Unavailable", &[], "not for clients\n"))
+                }
+                Ok(Call::LameDuck(on)) => {
+                    self.lame_duck(on);
+                    self.say(id, &yes());
+                }
+                Ok(Call::Detach(endpoint)) => self.step(Input::Detach { by: id, endpoint, back: false }),
+                Ok(Call::Attach(endpoint)) => self.step(Input::Detach { by: id, endpoint, back: true }),
+                Err(answer) => self.say(id, &answer),
+            }
+        }
+        if self.links.get(&id).is_some_and(|l| l.close_after && l.written_out() || l.ended) {
+            self.drop_link(id);
+        }
+    }
+
+    /// What a call to detach or attach came to. What was done is in the folder first, or is answered as not done.
+    pub(super) fn detached(&mut self, by: usize, known: bool, counts: &[(String, u32)]) {
+        let kept = match (&self.state_dir, known) {
+            (Some(dir), true) => beside::DETACHED.write(dir, json!(counts).to_string().as_bytes()),
+            _ => Ok(()),
+        };
+        let answer = match (kept, known) {
+            (Ok(()), true) => {
+                log::info!(event = "detached", endpoints = counts.len(); "operator: detached now: {counts:?}");
+                yes()
+            }
+            (Ok(()), false) => {
+                status(404, "Not Found", &[], "no such endpoint is held, or none is detached\n")
+            }
+            (Err(e), _) => {
+                log::error!("operator: what is detached can't be written, and would be forgotten: {e}");
+                status(500, "Internal Server Error", &[], "done, but a restart would forget it\n")
+            }
+        };
+        self.say(by, &answer);
+    }
+
+    fn lame_duck(&mut self, on: bool) {
+        let clients = self.links.values().filter(|l| door::of_client(l)).count();
+        match (on, self.lame) {
+            (true, None) => {
+                self.lame = Some(self.clock.now());
+                log::info!(event = "lame-duck", clients; "operator: emptying, {clients} client connections");
+            }
+            (false, Some(_)) => {
+                self.lame = None;
+                log::info!(event = "lame-duck-over", clients; "operator: for clients again");
+            }
+            _ => {}
+        }
+    }
+
+    /// When an emptying sender looks through its clients again.
+    pub(super) fn empty_due(&self, now: Time) -> Option<Time> {
+        let from = self.lame? + FRONT;
+        if now < from {
+            return Some(from);
+        }
+        self.links.values().any(door::of_client).then_some(now + LOOK)
+    }
+
+    /// Ends clients' connections between requests: what has been read is answered first.
+    pub(super) fn empty(&mut self) {
+        let now = self.clock.now();
+        let Some(since) = self.lame.filter(|since| now >= *since + FRONT) else { return };
+        let fresh = |l: &Link| !l.asked && now - l.since < FRESH && l.since >= since;
+        let ids: Vec<usize> =
+            self.links.iter().filter(|(_, l)| door::free(l) && !fresh(l)).map(|(&id, _)| id).collect();
+        ids.into_iter().for_each(|id| self.end_between(id));
+    }
+
+    /// Ends a client's connection unless something is open on it.
+    pub(super) fn end_between(&mut self, id: usize) {
+        self.pump(id);
+        if self.links.get(&id).is_some_and(|l| door::free(l) && l.input.is_empty()) {
+            self.drop_link(id);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn told(method: &str, path: &str) -> Result<Call, u16> {
+        let text = format!("{method} {path} HTTP/1.1\r\nHost: o\r\n\r\n");
+        let (request, _) = http::request(text.as_bytes()).expect("well formed").expect("whole");
+        read(&request).map_err(|answer| http::first_line(&answer).expect("a status"))
+    }
+
+    #[test]
+    fn calls_are_read_and_what_is_none_says_why() {
+        for (method, path, expected) in [
+            ("GET", "/_ready", Ok(Call::Ready)),
+            ("PUT", "/_lameduck/on", Ok(Call::LameDuck(true))),
+            ("PUT", "/_lameduck/off", Ok(Call::LameDuck(false))),
+            ("PUT", "/_endpoints/detach/s-5be2", Ok(Call::Detach("s-5be2".into()))),
+            // An id is what it names, never a path.
+            ("PUT", "/_endpoints/attach/a%2Fb%20%25", Ok(Call::Attach("a/b %".into()))),
+            ("PUT", "/_endpoints/attach/../x", Ok(Call::Attach("../x".into()))),
+            ("PUT", "/_endpoints/detach/", Err(400)),
+            ("PUT", "/_endpoints/detach/%ff", Err(400)),
+            ("PUT", "/_ready", Err(405)),
+            ("GET", "/_lameduck/on", Err(405)),
+            ("DELETE", "/_endpoints/detach/a", Err(405)),
+            ("GET", "/", Err(404)),
+            ("PUT", "/_endpoints/retach/a", Err(404)),
+        ] {
+            assert_eq!(told(method, path), expected, "{method} {path}");
+        }
+    }
+}
--- a/src/brain/zones.rs
+++ b/src/brain/zones.rs
@@ -1,10 +1,12 @@
-//! Gates before the endpoints of a zone: whether to leave one is decided for the whole fleet elsewhere; here is what that
-//! means for the calls of this sender.
+//! Gates before the endpoints of a zone, or before one that operators took out and attach again. Whether to leave a zone is
+//! decided for the whole fleet elsewhere; here is what that means for the calls of this sender.
 
 use super::*;
 
 /// Calls that may be saved up for one endpoint during a return.
 const SAVED: f64 = 1.0;
+/// A cold destination falls at three calls, and more, above what the rule lets it have.
+const CHANCE: f64 = 3.0;
 
 impl Sender {
     /// Nothing goes to this zone's endpoints any more, whichever are listed. A probe that was allowed is not any more.
@@ -43,26 +45,53 @@
     /// Lets in what has come, since the last look, of this sender's part of what the zone's endpoints may be sent on their
     /// return.
     pub fn admit_returning(&mut self, now: Time, zone: u32, since: Time) {
+        let places: Vec<usize> =
+            self.by_id.values().copied().filter(|&e| self.endpoints[e].zone == zone).collect();
+        places.into_iter().for_each(|e| self.admit(now, e, since));
+    }
+
+    /// As [`Sender::admit_returning`], for an endpoint that was taken out and is attached again.
+    pub fn admit_endpoint(&mut self, now: Time, id: &EndpointId, since: Time) {
+        if let Some(&e) = self.by_id.get(id) {
+            self.endpoints[e].bar.get_or_insert(0.0);
+            self.admit(now, e, since);
+        }
+    }
+
+    fn admit(&mut self, now: Time, e: usize, since: Time) {
         let rules = self.set.rules;
         let warm = (now - since).as_secs_f64() / rules.cold.as_secs_f64().max(1e-9);
         let present = rules.cold_from + (1.0 - rules.cold_from) * warm.min(1.0);
         let passed = (now - self.now).as_secs_f64();
-        let places: Vec<usize> =
-            self.by_id.values().copied().filter(|&e| self.endpoints[e].zone == zone).collect();
-        for e in places {
-            let lane = &self.lanes[self.endpoints[e].lane];
-            let limit = lane.demand.told.filter(|l| l.is_finite()).unwrap_or(lane.demand.listed);
-            // Without any limit, what this sender is asked for is its part.
-            let part = Some(limit / f64::from(self.set.instances)).filter(|p| p.is_finite());
-            let part = part.unwrap_or_else(|| lane.demand.rate(now)) / lane.endpoints.len().max(1) as f64;
-            let first = self.rng.f64();
-            let endpoint = &mut self.endpoints[e];
-            let Some(saved) = &mut endpoint.bar else { continue };
-            // Who came back together must not have a whole call together.
-            if *saved <= 0.0 && endpoint.streak > 0 {
-                (*saved, endpoint.streak) = (first, 0);
-            }
-            *saved = (*saved + COLD_SHARE * rules.fall_multiple * present * part * passed).min(SAVED);
+        let lane = &self.lanes[self.endpoints[e].lane];
+        let limit = lane.demand.told.filter(|l| l.is_finite()).unwrap_or(lane.demand.listed);
+        // Without any limit, what this sender is asked for is its part.
+        let part = Some(limit / f64::from(self.set.instances)).filter(|p| p.is_finite());
+        let part = part.unwrap_or_else(|| lane.demand.rate(now)) / lane.endpoints.len().max(1) as f64;
+        let first = self.rng.f64();
+        let endpoint = &mut self.endpoints[e];
+        let Some(saved) = &mut endpoint.bar else { return };
+        // Who came back together must not have a whole call together.
+        if *saved <= 0.0 && endpoint.streak > 0 {
+            (*saved, endpoint.streak) = (first, 0);
+        }
+        *saved = (*saved + COLD_SHARE * rules.fall_multiple * present * part * passed).min(SAVED);
+    }
+
+    /// Nothing goes to this endpoint but what is let in. Operators say that it is there, so the first calls of all senders
+    /// together are those that the rule on returns leaves to chance, and need not be saved up.
+    pub fn bar_endpoint(&mut self, id: &EndpointId) {
+        if let Some(&e) = self.by_id.get(id) {
+            let at_once = self.rng.f64() < CHANCE / f64::from(self.set.instances);
+            // Drawn, so that all who save at one pace do not have a whole call at one moment.
+            self.endpoints[e].bar = Some(if at_once { SAVED } else { self.rng.f64() });
+        }
+    }
+
+    /// It is as any other again.
+    pub fn unbar_endpoint(&mut self, id: &EndpointId) {
+        if let Some(&e) = self.by_id.get(id) {
+            self.endpoints[e].bar = None;
         }
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -70,7 +70,12 @@
 
 impl Bench {
     pub fn new(settings: Settings, entries: Vec<Entry>) -> Bench {
-        let mut sender = Sender::new(settings, 1, Time(0)).expect("settings");
+        Bench::seeded(settings, entries, 1)
+    }
+
+    /// One of several senders, which must not all draw the same.
+    pub fn seeded(settings: Settings, entries: Vec<Entry>, seed: u64) -> Bench {
+        let mut sender = Sender::new(settings, seed, Time(0)).expect("settings");
         sender.handle(Time(0), vec![Event::List { whole: true, entries }]);
         Bench { sender, ms: 0 }
     }
--- /dev/null
+++ b/tests/detached.rs
@@ -0,0 +1,63 @@
+//! Endpoints that operators attach again.
+
+mod common;
+
+use common::*;
+use tansycroft::Time;
+use tansycroft::api::*;
+
+/// Guards a cold endpoint that comes back at an operator's word: what many senders send there together stays within the rule,
+/// two at once or three hundred, and no sender waits for its first call where few share it.
+#[test]
+fn an_attached_endpoint_is_not_pushed_over_by_all_senders_together() {
+    for (senders, limit) in [(2u32, 60.0), (300, 60.0)] {
+        let mut all: Vec<Bench> = (0..senders)
+            .map(|n| {
+                let set = Settings { instances: senders, rates_listed: true, ..settings() };
+                let ready = Entry { rate: limit, ..entry("a", 1, Condition::Ready, 0) };
+                let mut b = Bench::seeded(set, vec![ready.clone()], n.into());
+                b.at(
+                    10,
+                    vec![Event::List {
+                        whole: false,
+                        entries: vec![Entry { condition: Condition::Draining, ..ready.clone() }],
+                    }],
+                );
+                b.sender.bar_endpoint(&ready.endpoint);
+                b.at(20, vec![Event::List { whole: false, entries: vec![ready] }]);
+                b
+            })
+            .collect();
+        // Each asks for its part of the limit and half as much again, for as long as the endpoint is cold.
+        let rules = settings().rules;
+        let mut sent: Vec<u64> = Vec::new();
+        for ms in (25..rules.cold.as_millis() as u64).step_by(25) {
+            for (n, b) in all.iter_mut().enumerate() {
+                b.sender.admit_endpoint(Time(ms * 1_000_000), &EndpointId("a".into()), Time(20_000_000));
+                let gap = (u64::from(senders) * 1000 * 2 / (limit as u64 * 3)).max(25) / 25;
+                let mut events = vec![Event::Wake];
+                if (ms / 25 + n as u64) % gap == 0 {
+                    events.push(accept(&format!("m{n}-{ms}"), 0, None, 9000));
+                }
+                let mut acts = b.at(ms, events);
+                while let Some((id, _)) = sends(&acts).pop() {
+                    sent.push(ms);
+                    acts = b.at(ms, vec![outcome(&id, 0, Status::Served, 20)]);
+                }
+            }
+        }
+        let fall = rules.fall.as_millis() as u64;
+        for &from in &sent {
+            let within = sent.iter().filter(|&&s| s >= from && s < from + fall).count() as f64;
+            let warm = ((from + fall) as f64 / rules.cold.as_millis() as f64).min(1.0);
+            let present = rules.cold_from + (1.0 - rules.cold_from) * warm;
+            let most = rules.fall_multiple * present * limit * rules.fall.as_secs_f64();
+            assert!(
+                within <= most + 3.0 * most.sqrt() + 3.0,
+                "{senders} senders: {within} of {most} from {from} ms on"
+            );
+        }
+        assert!(sent.first().is_some_and(|&ms| ms < 1000), "{senders}: the first call at {:?}", sent.first());
+        assert!(sent.len() as f64 > 0.2 * limit * rules.cold.as_secs_f64(), "{senders}: only {}", sent.len());
+    }
+}
