A new version takes over under load: lock, listener, clients and what was learnt pass on

A lock on the folder says which process works; the new one asks over a Unix socket in the folder; the old one holds back attempts until its calls are back, a second at the most, passes on its listeners, its clients' connections with what was read of an unfinished request, and what it has learnt of partners, and ends. Only where an operators' address is told.

Not yet: kills at drawn moments of a hand-over.

--- a/crates/core/src/input.rs
+++ b/crates/core/src/input.rs
@@ -49,6 +49,10 @@
     Stopping,
     /// What an earlier life had learnt of partners, as [`crate::Effect::Remember`] wrote it.
     Remembered(Vec<u8>),
+    /// No new attempts from now on, or again: another process is about to take over.
+    Quiet(bool),
+    /// What the process before this one passed on, as [`crate::Core::learnt`] gave it.
+    Adopted(Vec<u8>),
     /// An operator takes an endpoint out, or has it `back`; answered by [`crate::Effect::Detached`].
     Detach {
         by: usize,
--- a/crates/core/src/recovery.rs
+++ b/crates/core/src/recovery.rs
@@ -93,6 +93,18 @@
         }
     }
 
+    /// What this sender knows of partners, for the process that goes on in its place.
+    pub fn learnt(&self) -> Vec<u8> {
+        recovery::pack(&self.sender.learnt())
+    }
+
+    pub(crate) fn adopt(&mut self, bytes: &[u8]) {
+        match recovery::unpack(bytes) {
+            Ok(learnt) => self.adopted = Some(learnt),
+            Err(why) => log::error!("hand-over: what was learnt: {why}"),
+        }
+    }
+
     /// A member asks for what we have learnt, or tells what it has.
     pub(crate) fn on_word(&mut self, word: &membership::Effect) -> Vec<Effect> {
         match word {
@@ -129,10 +141,15 @@
         if events.iter().any(|e| matches!(e, Event::Lapsed(_))) {
             return (Vec::new(), events);
         }
+        if let Some(learnt) = self.adopted.take() {
+            let (lists, rest) = split_lists(events);
+            let actions = self.sender.handle(self.now, lists);
+            self.sender.carry_on(self.now, &learnt);
+            return (actions, rest);
+        }
         let due = self.recovery.as_mut().and_then(|r| r.recall(self.now));
         let Some(learnt) = due else { return (Vec::new(), events) };
-        let (lists, rest) =
-            events.into_iter().partition(|e| matches!(e, Event::List { .. } | Event::Senders(_)));
+        let (lists, rest) = split_lists(events);
         let actions = self.sender.handle(self.now, lists);
         let last = self.sender.recall(self.now, &learnt);
         if let Some(recovery) = &mut self.recovery {
@@ -164,3 +181,8 @@
         effects
     }
 }
+
+/// Lists, which go before all else, and the rest.
+fn split_lists(events: Vec<Event>) -> (Vec<Event>, Vec<Event>) {
+    events.into_iter().partition(|e| matches!(e, Event::List { .. } | Event::Senders(_)))
+}
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -9,7 +9,7 @@
 use tansycroft::api::{
     Action, DestId, EndpointId, Entry, Event, MsgId, Outcome, Past, Settings, Status, Taken,
 };
-use tansycroft::{Sender, SettingsError, Time};
+use tansycroft::{Learnt, Sender, SettingsError, Time};
 
 use crate::breakage::{self, Breakage};
 use crate::detach::Detached;
@@ -82,6 +82,10 @@
     /// Zones as the fleet sees them, where it leaves and returns together.
     pub(crate) zones: Option<Zones>,
     pub(crate) detached: Detached,
+    /// No new attempts: another process is about to take over.
+    quiet: bool,
+    /// What the process before this one knew, until the list is there.
+    pub(crate) adopted: Option<Vec<Learnt>>,
     /// What the members said when it was looked at last.
     said: Vec<(std::net::SocketAddr, Vec<u8>)>,
     pub breaches: Breaches,
@@ -124,6 +128,8 @@
             recovery: None,
             zones: None,
             detached: Detached::default(),
+            quiet: false,
+            adopted: None,
             said: Vec::new(),
             breaches: Breaches::default(),
         })
@@ -178,6 +184,17 @@
                 Vec::new()
             }
             Input::Fleet(input) => self.on_fleet(input),
+            Input::Quiet(quiet) => {
+                self.quiet = quiet;
+                if !quiet {
+                    self.sender.unbar_all();
+                }
+                Vec::new()
+            }
+            Input::Adopted(bytes) => {
+                self.adopt(&bytes);
+                Vec::new()
+            }
             Input::Detach { by, endpoint, back } => self.on_detach(by, endpoint, back),
             Input::Stopping => {
                 if breakage::is(Breakage::LeaksAtStop) {
@@ -367,6 +384,9 @@
         let events = std::mem::take(&mut self.events);
         let zoned = self.look_at_zones();
         self.look_at_returning();
+        if self.quiet {
+            self.sender.bar_all();
+        }
         let (mut actions, events) = self.recall(events);
         actions.extend(self.sender.handle(self.now, events));
         let mut calls: Vec<(EndpointId, String, Vec<Attempt>)> = Vec::new();
--- /dev/null
+++ b/crates/cranehill/tests/handover.rs
@@ -0,0 +1,121 @@
+//! A second process over the same folder, as operators start it for a new version.
+
+mod common;
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
+use std::path::Path;
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
+
+use common::*;
+use cranehill::rehearsal::{Reply, StandIn};
+use cranehill_daemon::http;
+use cranehill_daemon::reactor::State;
+
+fn beside(known: &str, platform: &StandIn, dir: &Path) -> Running {
+    start_as(known, platform, |setup| {
+        setup.operator = Some(SocketAddr::from(([127, 0, 0, 1], 0)));
+        setup.state = Some(State { dir: dir.to_owned(), disk: 1_000_000, key: None });
+    })
+}
+
+type Calls = Receiver<(String, Instant)>;
+
+/// Tells of each call, and answers as `reply` says.
+fn endpoint(reply: impl Fn(&str) -> Reply + Send + Sync + 'static) -> (StandIn, Calls) {
+    let (said, heard) = channel();
+    let said = std::sync::Mutex::new(said);
+    let stand_in = StandIn::new(move |request, _| {
+        let id = http::header(&request.headers, "X-Txn").unwrap_or_default().to_owned();
+        let reply = reply(&id);
+        if let Ok(said) = said.lock() {
+            let _ = said.send((id, Instant::now()));
+        }
+        reply
+    });
+    (stand_in.expect("endpoint"), heard)
+}
+
+const SEVEN: &str = "c=episode-notice,t=onda-central,d=15000,dest=7";
+const EIGHT: &str = "c=episode-notice,t=onda-central,d=15000,dest=8";
+
+/// Guards the whole way: the listener, a connection in the middle of a request, a notice that is held, and a told wait all
+/// pass from one process to the other, and nobody is closed on.
+#[test]
+fn a_new_process_goes_on_where_the_old_one_stops() {
+    let (plain, calls) = endpoint(|_| Reply::status(200));
+    let waits = Duration::from_secs(3);
+    let (told, turned_away) = endpoint(|id| match id {
+        "00000000000000a8" => Reply::wait(429, "3"),
+        _ => Reply::status(200),
+    });
+    let known = list(1, &[("a", plain.address, 7, "station"), ("b", told.address, 8, "station")]);
+    let (platform, folder) = (platform(), tempfile::tempdir().expect("a folder"));
+    let old = beside(&known, &platform, folder.path());
+    let mut client = Client::new(old.clients);
+    assert_eq!(client.put("00000000000000a7", SEVEN, b"first"), "+OK");
+    assert_eq!(calls.recv_timeout(SOON).expect("a call").0, "00000000000000a7");
+    assert_eq!(client.put("00000000000000a8", EIGHT, b"told to wait"), "+OK");
+    let (_, first) = turned_away.recv_timeout(SOON).expect("a call");
+    // Heard by the sender before the next answer: both are dealt with in one turn at the latest.
+    assert_eq!(client.put("00000000000000b8", EIGHT, b"waits"), "+OK");
+    let request = put("00000000000000b7", SEVEN, b"in two pieces");
+    client.send(&request[..30]);
+    let new = beside(&known, &platform, folder.path());
+    assert_eq!(new.clients, old.clients, "one listener");
+    client.send(&request[30..]);
+    assert_eq!(client.line(), "+OK");
+    assert_eq!(calls.recv_timeout(SOON).expect("a call").0, "00000000000000b7");
+    let (_, again) = turned_away.recv_timeout(SOON).expect("a call");
+    assert!(again - first >= waits, "the wait was told to one sender: {:?}", again - first);
+    assert_eq!(Client::new(new.clients).put("00000000000000c7", SEVEN, b"new"), "+OK");
+}
+
+/// Guards the old process against a new one that never gets ready, and against anybody else at its socket.
+#[test]
+fn who_asks_and_goes_away_changes_nothing() {
+    let (plain, calls) = endpoint(|_| Reply::status(200));
+    let known = list(1, &[("a", plain.address, 7, "station")]);
+    let (platform, folder) = (platform(), tempfile::tempdir().expect("a folder"));
+    let old = beside(&known, &platform, folder.path());
+    let ask = |bytes: &[u8]| {
+        let mut stream = UnixStream::connect(folder.path().join("handover")).expect("the socket");
+        stream.write_all(bytes).expect("written");
+        stream
+    };
+    for round in 0..3 {
+        let silent = ask(b"");
+        let noise = ask(b"GET / HTTP/1.1\r\n\r\n");
+        let gone = ask(b"hand-o1\n");
+        drop((silent, noise, gone));
+        let id = format!("{round:016x}");
+        assert_eq!(Client::new(old.clients).put(&id, SEVEN, b"x"), "+OK");
+        assert_eq!(calls.recv_timeout(SOON).expect("a call").0, id);
+    }
+}
+
+/// Guards the one writer: while the old one can't be asked, the new one waits; once it has died, the new one starts as after a
+/// kill, with all that was taken on.
+#[test]
+fn a_dead_process_leaves_its_folder_to_the_next() {
+    let (silent, calls) = endpoint(|_| Reply::Silent);
+    let known = list(1, &[("a", silent.address, 7, "station")]);
+    let (platform, folder) = (platform(), tempfile::tempdir().expect("a folder"));
+    let old = beside(&known, &platform, folder.path());
+    assert_eq!(Client::new(old.clients).put("00000000000000a7", SEVEN, b"owed"), "+OK");
+    assert_eq!(calls.recv_timeout(SOON).expect("a call").0, "00000000000000a7");
+    std::fs::remove_file(folder.path().join("handover")).expect("the socket");
+    let new = std::thread::scope(|scope| {
+        let starting = scope.spawn(|| beside(&known, &platform, folder.path()));
+        assert_eq!(Client::new(old.clients).put("00000000000000b7", SEVEN, b"still served"), "+OK");
+        drop(old);
+        starting.join().expect("it starts")
+    });
+    let mut owed: Vec<String> = (0..3).map(|_| calls.recv_timeout(SOON).expect("a call").0).collect();
+    owed.sort();
+    owed.dedup();
+    assert_eq!(owed, ["00000000000000a7", "00000000000000b7"]);
+    assert_eq!(Client::new(new.clients).put("00000000000000c7", SEVEN, b"new"), "+OK");
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod directory;
 mod file;
 pub mod fleet;
+mod handover;
 pub mod http;
 mod link;
 pub mod partners;
--- a/crates/daemon/src/reactor.rs
+++ b/crates/daemon/src/reactor.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod door;
 mod fleet;
+mod handover;
 mod operator;
 mod platform;
 
@@ -28,6 +29,7 @@
 use crate::config::Site;
 use crate::directory;
 use crate::fleet::Fleet;
+use crate::handover as passing;
 use crate::http;
 use crate::link::{ANSWER_MOST, Clock, Link, Out, Role, consume};
 use crate::partners::{self, Told, Verdict};
@@ -46,6 +48,7 @@
 const FLEET: Token = Token(4);
 const STATUS: Token = Token(5);
 const OPERATOR: Token = Token(6);
+const HANDOVER: Token = Token(7);
 const FIRST_LINK: usize = 16;
 /// How long before a partner closes an idle connection we stop trusting it.
 const IDLE_MARGIN: Duration = Duration::from_millis(1000);
@@ -122,6 +125,9 @@
     clients: Option<TcpListener>,
     pushes: Option<TcpListener>,
     operators: Option<TcpListener>,
+    /// The right to work in the folder, and the end of this process that passes on to a new one.
+    _lock: Option<passing::Lock>,
+    handover: Option<handover::End>,
     /// Since when operators have this sender emptied.
     lame: Option<Time>,
     links: BTreeMap<usize, Link>,
@@ -231,7 +237,9 @@
         log::error!(notices = recovered.doubted;
             "journal: {} open notices count as possibly run because of damage", recovered.doubted);
     }
-    for file in recovered.foreign.iter().filter(|f| !beside::is_ours(f)) {
+    for file in
+        recovered.foreign.iter().filter(|f| !beside::is_ours(f) && !passing::NAMES.contains(&f.as_str()))
+    {
         log::warn!(file = file.as_str(); "journal: {file} is not of this folder; left alone, it takes room");
     }
     if recovered.carried_over > 0 {
@@ -250,6 +258,12 @@
         let poll = Poll::new().map_err(|e| format!("poll: {e}"))?;
         let mut clock = Clock::new();
         let (mut journal, mut recovered, mut state_dir) = (None, Recovered::default(), None);
+        let (mut lock, mut taken) = (None, passing::Taken::default());
+        // Only operators start a second process beside this one.
+        if let Some(state) = state.as_ref().filter(|_| setup.operator.is_some()) {
+            let (own, all) = passing::take(&state.dir)?;
+            (lock, taken) = (Some(own), all);
+        }
         let remembers = setup.fleet.as_ref().is_some_and(|f| f.recovery.is_some());
         if let Some(mut state) = state {
             state_dir = Some(state.dir.clone());
@@ -304,6 +318,8 @@
             clients: None,
             pushes: None,
             operators: None,
+            _lock: lock,
+            handover: None,
             lame: None,
             links: BTreeMap::new(),
             next_link: FIRST_LINK,
@@ -345,7 +361,10 @@
             log::info!("fleet: status at {status}");
         }
         if let Some(address) = listen {
-            reactor.clients = Some(reactor.listen(address, CLIENTS)?);
+            reactor.clients = Some(match taken.clients.take() {
+                Some(listener) => reactor.adopt_listener(listener, CLIENTS)?,
+                None => reactor.listen(address, CLIENTS)?,
+            });
             log::info!("listening for clients at {}", shown(&reactor.clients));
         }
         if let Some(address) = setup.operator {
@@ -353,9 +372,23 @@
             log::info!("listening for operators at {}", shown(&reactor.operators));
         }
         if let Some(address) = push_listen {
-            reactor.pushes = Some(reactor.listen(address, PUSHES)?);
+            reactor.pushes = Some(match taken.pushes.take() {
+                Some(listener) => reactor.adopt_listener(listener, PUSHES)?,
+                None => reactor.listen(address, PUSHES)?,
+            });
             log::info!("listening for Web Push at {}", shown(&reactor.pushes));
         }
+        if let Some(dir) = reactor.state_dir.as_deref().filter(|_| setup.operator.is_some()) {
+            reactor.handover = handover::End::open(dir, reactor.poll.registry());
+        }
+        if let Some(learnt) = taken.learnt.take() {
+            reactor.step(Input::Adopted(learnt));
+        }
+        let connections = taken.connections.len();
+        taken.connections.into_iter().for_each(|client| reactor.adopt(client));
+        if connections > 0 {
+            log::info!(event = "taken-over", clients = connections; "hand-over: {connections} client connections taken over");
+        }
         Ok(reactor)
     }
 
@@ -437,7 +470,7 @@
         for token in tokens {
             match token {
                 CLIENTS | PUSHES => self.accept(token),
-                SIGNALS | HALT => {}
+                SIGNALS | HALT | HANDOVER => {}
                 FLEET => self.hear_fleet(),
                 STATUS | OPERATOR => self.accept_operators(token),
                 Token(link) => self.pump(link),
@@ -460,7 +493,7 @@
             self.compact();
         }
         self.send_reports();
-        Ok(self.wind_down())
+        Ok(self.pass_on() || self.wind_down())
     }
 
     fn next_due(&self, now: Time) -> Option<Time> {
@@ -485,6 +518,7 @@
         for link in self.links.values() {
             self.link_due(link).into_iter().for_each(&mut consider);
         }
+        self.handover_due(now).into_iter().for_each(&mut consider);
         self.empty_due(now).into_iter().for_each(&mut consider);
         if let Some(since) = self.stopping {
             consider((now + Duration::from_millis(20)).max(since));
@@ -786,14 +820,18 @@
         if !over && passed < STOP_ALL {
             return false;
         }
-        // Who still waits here for a notice's end is told to come back; nothing of it was promised.
+        self.end_waiting();
+        true
+    }
+
+    /// Who still waits here for a notice's end is told to come back; nothing of it was promised.
+    fn end_waiting(&mut self) {
         let waiting = |l: &Link| matches!(&l.role, Role::Pusher { busy: Some(_), .. });
         let ids: Vec<usize> = self.links.iter().filter(|(_, l)| waiting(l)).map(|(&id, _)| id).collect();
         for id in ids {
             let after = Some(Duration::from_secs(5));
             self.say(id, &webpush::answer(core::Answer::Refused { after }, ""));
         }
-        true
     }
 }
 
--- /dev/null
+++ b/crates/daemon/src/reactor/handover.rs
@@ -0,0 +1,153 @@
+//! A new version beside this one: what this process still does when it is asked to pass on, and what a new one begins with.
+
+use super::*;
+use crate::handover::{Client, Giver, QUIET_MOST};
+use mio::unix::SourceFd;
+use std::os::fd::{AsFd, AsRawFd};
+
+/// The end of this process that passes on.
+pub(super) struct End {
+    giver: Giver,
+    /// Since when attempts are held back for it.
+    quiet: Option<Time>,
+}
+
+impl End {
+    /// Where the system or the folder has no such socket, a new version waits until this process has ended.
+    pub(super) fn open(dir: &std::path::Path, registry: &mio::Registry) -> Option<End> {
+        let opened = Giver::open(dir).and_then(|giver| {
+            registry.register(&mut SourceFd(&giver.listener().as_raw_fd()), HANDOVER, Interest::READABLE)?;
+            Ok(End { giver, quiet: None })
+        });
+        opened
+            .inspect_err(|e| log::warn!("hand-over: no socket in the folder: {e}; none will be possible"))
+            .ok()
+    }
+}
+
+impl Reactor {
+    /// When the hand-over needs attention though nothing happens.
+    pub(super) fn handover_due(&self, now: Time) -> Option<Time> {
+        let since = self.handover.as_ref()?.quiet?;
+        Some((now + self.site.settings.tick).min(since + QUIET_MOST))
+    }
+
+    /// Holds back attempts while somebody asks for all; true once everything has been passed on and this process is over.
+    pub(super) fn pass_on(&mut self) -> bool {
+        let now = self.clock.now();
+        let Some(end) = &mut self.handover else { return false };
+        let asked = end.giver.is_asked();
+        match (asked, end.quiet) {
+            (true, None) => {
+                end.quiet = Some(now);
+                let (held, out) = (self.core.owed().0, self.core.attempts_out());
+                log::info!(event = "hand-over", held, out; "hand-over: asked for; {held} notices held, {out} attempts out");
+                self.step(Input::Quiet(true));
+                false
+            }
+            (false, Some(_)) => {
+                self.go_on("whoever asked has gone");
+                false
+            }
+            (true, Some(since)) if self.core.attempts_out() == 0 || now >= since + QUIET_MOST => {
+                match self.pass_all() {
+                    Ok(()) => true,
+                    Err(e) => {
+                        self.go_on(&e.to_string());
+                        false
+                    }
+                }
+            }
+            _ => false,
+        }
+    }
+
+    fn go_on(&mut self, why: &str) {
+        log::warn!("hand-over: {why}; this process goes on");
+        if let Some(end) = &mut self.handover {
+            end.quiet = None;
+            end.giver.given_up();
+        }
+        self.step(Input::Quiet(false));
+    }
+
+    fn pass_all(&mut self) -> io::Result<()> {
+        // What is still out is broken off, as at an end by signal: it may have run, and the journal says so.
+        let out = |l: &Link| matches!(l.role, Role::Partner { call: Some(_), .. });
+        let late: Vec<usize> = self.links.iter().filter(|(_, l)| out(l)).map(|(&id, _)| id).collect();
+        for id in late {
+            if let Some(Link { role: Role::Partner { call: Some(out), .. }, up: true, .. }) =
+                self.drop_link(id)
+            {
+                self.end_call(out, &Told::all(Status::TimedOut));
+            }
+        }
+        // All that clients have sent is read, kept and answered first.
+        let clients: Vec<usize> =
+            self.links.iter().filter(|(_, l)| door::of_client(l)).map(|(&id, _)| id).collect();
+        for &id in &clients {
+            self.pump(id);
+        }
+        let effects = self.core.step(self.clock.now(), Input::TurnOver);
+        self.carry_out(effects);
+        let learnt = self.core.learnt();
+        let Some(End { giver, .. }) = &mut self.handover else { return Ok(()) };
+        giver.learnt(learnt)?;
+        for (listener, push) in [(&self.clients, false), (&self.pushes, true)] {
+            if let Some(listener) = listener {
+                giver.pass_listener(listener.as_fd(), push)?;
+            }
+        }
+        let mut passed = 0;
+        for id in clients {
+            let Some(link) = self.links.get(&id) else { continue };
+            // Who is in the middle of an answer, or waits for a push's end, can't be moved.
+            if !matches!(link.role, Role::Client { busy: false })
+                || !link.written_out()
+                || link.close_after
+                || link.ended
+            {
+                continue;
+            }
+            giver.pass_client(link.stream.as_fd(), link.input.clone(), link.asked)?;
+            // Passed on, it counts there: the two together hold no more than one did.
+            let mut link = self.links.remove(&id).into_iter();
+            link.by_ref().for_each(|mut l| drop(self.poll.registry().deregister(&mut l.stream)));
+            passed += 1;
+        }
+        giver.end()?;
+        let (held, reports) = self.core.owed();
+        log::info!(event = "handed-over", clients = passed, held, reports;
+            "hand-over: done, with {passed} client connections; {held} notices and {reports} reports are in the journal");
+        self.end_waiting();
+        Ok(())
+    }
+
+    /// A client that an old process has passed on.
+    pub(super) fn adopt(&mut self, client: Client) {
+        let Client { stream, input, asked } = client;
+        let ready = stream.set_nonblocking(true).map(|()| TcpStream::from_std(stream));
+        let added = ready.and_then(|stream| self.add_link(stream, Role::Client { busy: false }, true));
+        match added {
+            Ok(id) => {
+                if let Some(link) = self.links.get_mut(&id) {
+                    (link.input, link.asked) = (input, asked);
+                }
+                self.resume.push(id);
+            }
+            Err(e) => log::error!("hand-over: a client's connection: {e}"),
+        }
+    }
+
+    pub(super) fn adopt_listener(
+        &self,
+        listener: std::net::TcpListener,
+        token: Token,
+    ) -> Result<TcpListener, String> {
+        let named = |e: io::Error| format!("hand-over: the listener: {e}");
+        listener.set_nonblocking(true).map_err(named)?;
+        let mut listener = TcpListener::from_std(listener);
+        self.poll.registry().register(&mut listener, token, Interest::READABLE).map_err(named)?;
+        Ok(listener)
+    }
+}
--- a/src/brain/learnt.rs
+++ b/src/brain/learnt.rs
@@ -106,6 +106,25 @@
         last
     }
 
+    /// Goes on where another process for this very sender has stopped just now: nothing of it is old, and no other sender
+    /// does the same at this moment.
+    pub fn carry_on(&mut self, now: Time, learnt: &[Learnt]) {
+        self.now = self.now.max(now);
+        let known: BTreeMap<(u64, Option<&str>), &Learnt> =
+            learnt.iter().map(|k| ((k.dest, k.route.as_deref()), k)).collect();
+        let places: Vec<(u64, usize)> =
+            self.dests.iter().flat_map(|(dest, lanes)| lanes.iter().map(|&l| (dest.0, l))).collect();
+        for (dest, l) in places {
+            let (route, jitter, rules) = (self.route(l), self.jitter(), self.set.rules);
+            let Some(known) = known.get(&(dest, route.as_deref())) else { continue };
+            let lane = &mut self.lanes[l];
+            lane.shut_until = lane.shut_until.max(known.shut_until.unwrap_or_default());
+            lane.take(known, self.now, &rules, jitter);
+            lane.window.size = known.window.unwrap_or(lane.window.size).clamp(FLOOR, lane.window.cap);
+            lane.proven_window = lane.window.clone();
+        }
+    }
+
     /// The endpoint that stands for a lane, where routes are apart.
     fn route(&self, lane: usize) -> Option<String> {
         let lane = &self.lanes[lane];
--- a/src/brain/zones.rs
+++ b/src/brain/zones.rs
@@ -88,6 +88,16 @@
         }
     }
 
+    /// Nothing goes anywhere.
+    pub fn bar_all(&mut self) {
+        self.endpoints.iter_mut().for_each(|e| e.bar = Some(0.0));
+    }
+
+    /// Whatever was barred is open again.
+    pub fn unbar_all(&mut self) {
+        self.endpoints.iter_mut().for_each(|e| e.bar = None);
+    }
+
     /// It is as any other again.
     pub fn unbar_endpoint(&mut self, id: &EndpointId) {
         if let Some(&e) = self.by_id.get(id) {
