--- a/crates/core/src/detach.rs
+++ b/crates/core/src/detach.rs
@@ -1,5 +1,5 @@
-//! Endpoints that operators have taken out: whatever the directory says of them, they drain until they are attached as often
-//! as they were detached; then they come back as cold ones.
+//! Endpoints that operators have taken out: whatever the directory says of them, they drain until the call back, one however
+//! many calls took them out; then they come back as cold ones.
 
 use std::collections::BTreeMap;
 
@@ -16,8 +16,8 @@
 
 #[derive(Debug, Default)]
 pub(crate) struct Detached {
-    /// How often each was detached, and when it was last listed or asked for.
-    counts: BTreeMap<EndpointId, (u32, Time)>,
+    /// Those that are out, and when each was last listed or asked for.
+    out: BTreeMap<EndpointId, Time>,
     /// Attached, and since then on the way back.
     returning: BTreeMap<EndpointId, Time>,
 }
@@ -25,7 +25,7 @@
 impl Detached {
     /// What the decisions are to know of an entry.
     pub(crate) fn over(&mut self, now: Time, mut entry: Entry) -> Entry {
-        if let Some((_, seen)) = self.counts.get_mut(&entry.endpoint) {
+        if let Some(seen) = self.out.get_mut(&entry.endpoint) {
             *seen = now;
             if entry.condition == Condition::Ready {
                 entry.condition = Condition::Draining;
@@ -36,7 +36,7 @@
 
     /// Forgets what is not listed any more, and has not been for long: under that id nobody comes back.
     pub(crate) fn forget(&mut self, now: Time, listed: impl Fn(&EndpointId) -> bool) {
-        self.counts.retain(|id, (_, seen)| {
+        self.out.retain(|id, seen| {
             if listed(id) {
                 *seen = now;
             }
@@ -44,10 +44,6 @@
         });
         self.returning.retain(|id, _| listed(id));
     }
-
-    fn told(&self) -> Vec<(String, u32)> {
-        self.counts.iter().map(|(id, (times, _))| (id.0.clone(), *times)).collect()
-    }
 }
 
 impl Core {
@@ -55,27 +51,20 @@
     pub(crate) fn on_detach(&mut self, by: usize, endpoint: String, back: bool) -> Vec<Effect> {
         let (now, id) = (self.now, EndpointId(endpoint));
         let listed = self.list.contains_key(&id);
-        let room = self.detached.counts.len() < MOST && id.0.len() <= ID_MOST;
-        let known = match self.detached.counts.get_mut(&id) {
-            Some((times, _)) if back && *times > 1 => {
-                *times -= 1;
-                true
-            }
-            Some(_) if back => self.detached.counts.remove(&id).is_some(),
-            Some((times, seen)) => {
-                (*times, *seen) = (times.saturating_add(1), now);
-                true
-            }
-            None if back || !listed || !room => false,
-            None => self.detached.counts.insert(id.clone(), (1, now)).is_none(),
-        };
-        let counts = self.detached.told();
+        let was_out = self.detached.out.contains_key(&id);
+        let room = self.detached.out.len() < MOST && id.0.len() <= ID_MOST;
+        let known = was_out || listed && (back || room);
+        match back {
+            true => drop(self.detached.out.remove(&id)),
+            false if known => drop(self.detached.out.insert(id.clone(), now)),
+            false => {}
+        }
+        let out = self.detached.out.keys().map(|id| id.0.clone()).collect();
         // What stands connected is of the endpoint as it was: it may be restarted before it is attached.
-        let mut effects = vec![Effect::Detached { by, known, counts }];
-        if known && listed {
+        let mut effects = vec![Effect::Detached { by, known, out }];
+        if listed && was_out == back && known {
             effects.insert(0, Effect::CloseIdle(id.clone()));
-            let out = self.detached.counts.contains_key(&id);
-            if out {
+            if !back {
                 self.detached.returning.remove(&id);
                 effects.insert(0, Effect::HoldBack { endpoints: vec![id.clone()] });
             } else {
@@ -88,11 +77,9 @@
     }
 
     /// What an earlier life of this sender had detached.
-    pub fn detached_before(&mut self, counts: impl IntoIterator<Item = (String, u32)>) {
-        let sound = |(id, times): &(String, u32)| *times > 0 && id.len() <= ID_MOST;
-        for (id, times) in counts.into_iter().filter(sound).take(MOST) {
-            let id = EndpointId(id);
-            self.detached.counts.insert(id.clone(), (times, self.now));
+    pub fn detached_before(&mut self, out: Vec<String>) {
+        for id in out.into_iter().filter(|id| id.len() <= ID_MOST).take(MOST).map(EndpointId) {
+            self.detached.out.insert(id.clone(), self.now);
             self.tell_listed(&id);
         }
     }
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -57,11 +57,11 @@
     Full(Duration),
     /// A zone is left, tried or returned to, by the whole fleet.
     Zone(cranehill_zones::Change),
-    /// Keep how often each endpoint is detached now, then answer the operator; `known` is false where nothing was done.
+    /// Keep which endpoints are detached now, then answer the operator; `known` is false where nobody holds what was asked.
     Detached {
         by: usize,
         known: bool,
-        counts: Vec<(String, u32)>,
+        out: Vec<String>,
     },
     /// Of the fleet's members.
     Fleet(membership::Effect),
--- a/crates/daemon/src/beside.rs
+++ b/crates/daemon/src/beside.rs
@@ -15,7 +15,7 @@
 /// What this sender knew of partners.
 pub const LEARNT: Beside =
     Beside { name: "learnt", new: "learnt.new", most: cranehill_recovery::LEARNT_MOST as u64 };
-/// Endpoints that operators have detached, and how often, as JSON.
+/// Endpoints that operators have detached, as JSON.
 pub const DETACHED: Beside = Beside { name: "detached", new: "detached.new", most: 12 * 1024 };
 
 /// Whether a file of that name is one of them.
--- a/crates/daemon/src/reactor.rs
+++ b/crates/daemon/src/reactor.rs
@@ -602,7 +602,7 @@
                 }
                 Effect::Fleet(effect) => self.on_fleet(effect),
                 Effect::Zone(change) => fleet::tell_zone(&change, &self.site.names.zones),
-                Effect::Detached { by, known, counts } => self.detached(by, known, &counts),
+                Effect::Detached { by, known, out } => self.detached(by, known, &out),
                 Effect::Remember(bytes) => self.remember(&bytes),
                 Effect::Full(took) => {
                     log::info!(event = "full", took_ms = took.as_millis() as u64;
--- a/crates/daemon/src/reactor/operator.rs
+++ b/crates/daemon/src/reactor/operator.rs
@@ -32,12 +32,12 @@
     let read = beside::DETACHED.read(dir).map(|bytes| bytes.map(|b| serde_json::from_slice(&b)));
     match read.map_err(|e| e.to_string()).and_then(|r| r.transpose().map_err(|e| e.to_string())) {
         Ok(None) => {}
-        Ok(Some(counts)) => {
-            let counts: Vec<(String, u32)> = counts;
-            if !counts.is_empty() {
-                log::info!(event = "detached", endpoints = counts.len(); "operator: detached still: {counts:?}");
+        Ok(Some(out)) => {
+            let out: Vec<String> = out;
+            if !out.is_empty() {
+                log::info!(event = "detached", endpoints = out.len(); "operator: detached still: {out:?}");
             }
-            core.detached_before(counts);
+            core.detached_before(out);
         }
         Err(e) => {
             log::error!("operator: what was detached can't be read, so all that is listed is used: {e}")
@@ -155,19 +155,17 @@
     }
 
     /// What a call to detach or attach came to. What was done is in the folder first, or is answered as not done.
-    pub(super) fn detached(&mut self, by: usize, known: bool, counts: &[(String, u32)]) {
+    pub(super) fn detached(&mut self, by: usize, known: bool, out: &[String]) {
         let kept = match (&self.state_dir, known) {
-            (Some(dir), true) => beside::DETACHED.write(dir, json!(counts).to_string().as_bytes()),
+            (Some(dir), true) => beside::DETACHED.write(dir, json!(out).to_string().as_bytes()),
             _ => Ok(()),
         };
         let answer = match (kept, known) {
             (Ok(()), true) => {
-                log::info!(event = "detached", endpoints = counts.len(); "operator: detached now: {counts:?}");
+                log::info!(event = "detached", endpoints = out.len(); "operator: detached now: {out:?}");
                 yes()
             }
-            (Ok(()), false) => {
-                status(404, "Not Found", &[], "no such endpoint is held, or none is detached\n")
-            }
+            (Ok(()), false) => status(404, "Not Found", &[], "nobody holds such an endpoint\n"),
             (Err(e), _) => {
                 log::error!("operator: what is detached can't be written, and would be forgotten: {e}");
                 status(500, "Internal Server Error", &[], "done, but a restart would forget it\n")
