A returning endpoint always gets the few calls that the rule on returns leaves to chance

Seen: with thin traffic an attached endpoint got six notices in 19 s (tests/operator.rs), since its pace was a part of what little was asked for.

--- a/src/brain/zones.rs
+++ b/src/brain/zones.rs
@@ -5,7 +5,7 @@
 
 /// Calls that may be saved up for one endpoint during a return.
 const SAVED: f64 = 1.0;
-/// A cold destination falls at three calls, and more, above what the rule lets it have.
+/// A cold destination falls only at three calls, and more, above what the rule lets it have in one span.
 const CHANCE: f64 = 3.0;
 
 impl Sender {
@@ -67,7 +67,11 @@
         let limit = lane.demand.told.filter(|l| l.is_finite()).unwrap_or(lane.demand.listed);
         // Without any limit, what this sender is asked for is its part.
         let part = Some(limit / f64::from(self.set.instances)).filter(|p| p.is_finite());
-        let part = part.unwrap_or_else(|| lane.demand.rate(now)) / lane.endpoints.len().max(1) as f64;
+        let part = part.unwrap_or_else(|| lane.demand.rate(now));
+        // However little it can do, what is left to chance may go in each span of the rule.
+        let least = CHANCE / rules.fall.as_secs_f64().max(1e-9) / f64::from(self.set.instances);
+        let pace = COLD_SHARE * rules.fall_multiple * present * part + least;
+        let own = pace / lane.endpoints.len().max(1) as f64;
         let first = self.rng.f64();
         let endpoint = &mut self.endpoints[e];
         let Some(saved) = &mut endpoint.bar else { return };
@@ -75,7 +79,7 @@
         if *saved <= 0.0 && endpoint.streak > 0 {
             (*saved, endpoint.streak) = (first, 0);
         }
-        *saved = (*saved + COLD_SHARE * rules.fall_multiple * present * part * passed).min(SAVED);
+        *saved = (*saved + own * passed).min(SAVED);
     }
 
     /// Nothing goes to this endpoint but what is let in. Operators say that it is there, so the first calls of all senders
