Rehearsed upgrades: a sender started beside itself under load, one of the two killed at set moments

Need: the operators' issue wants upgrades under load with real processes, the old or the new one killed in the middle, judged by the existing auditor. Excused are only requests on connections that died with a killed process, as at any kill.

--- a/crates/cranehill/tests/handover.rs
+++ b/crates/cranehill/tests/handover.rs
@@ -13,6 +13,9 @@
 use cranehill::rehearsal::{Reply, StandIn};
 use cranehill_daemon::http;
 use cranehill_daemon::reactor::State;
+use cranehill_model::audit::What;
+use cranehill_model::day;
+use cranehill_rehearsal::{Limits, Plan, play, report};
 
 fn beside(known: &str, platform: &StandIn, dir: &Path) -> Running {
     start_as(known, platform, |setup| {
@@ -119,3 +122,31 @@
     assert_eq!(owed, ["00000000000000a7", "00000000000000b7"]);
     assert_eq!(Client::new(new.clients).put("00000000000000c7", SEVEN, b"new"), "+OK");
 }
+
+/// Guards the promises over real processes: upgrades under load, with the old or the new process killed around the moment of the
+/// hand-over. Whatever moment it hits, every notice has one end in time, and no attempt is out twice.
+#[test]
+fn upgrades_under_load_lose_nothing_also_when_one_process_is_killed() {
+    let text = include_str!("../../../rehearsals/days/upgrade.toml").replace("120/s", "40/s");
+    let plan = Plan {
+        day: day::parse(&text, 3).expect("a good day"),
+        seed: 3,
+        program: env!("CARGO_BIN_EXE_cranehill").into(),
+        limits: Limits::default(),
+        breakage: None,
+        against: None,
+    };
+    let outcome = play(&plan, |_, _| {}).expect("it plays");
+    let broken = report::broken(&outcome);
+    assert!(
+        outcome.holds() && broken.is_empty(),
+        "seed 3: {broken:?} {:?} {:?}",
+        outcome.crashed,
+        outcome.warnings
+    );
+    for sender in 0..2 {
+        let ready = |l: &&cranehill_model::audit::Line| l.sender == Some(sender) && l.what == What::Ready;
+        let lives = outcome.lines.iter().filter(ready).count();
+        assert!(lives >= 5, "{sender} was ready {lives} times: once, and after each of its four upgrades");
+    }
+}
--- a/crates/model/src/fleet.rs
+++ b/crates/model/src/fleet.rs
@@ -91,6 +91,13 @@
     Cut,
 }
 
+/// Of two processes of one sender.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Which {
+    Old,
+    New,
+}
+
 /// What is done to processes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Deed {
@@ -100,6 +107,9 @@
     Kill { back: Option<Duration>, folder: Folder },
     /// SIGTERM; as before.
     Term { back: Option<Duration>, folder: Folder },
+    /// Started a second time beside itself, over the same folder, as for a new version; one of the two may be killed so
+    /// long after that.
+    Upgrade { kill: Option<(Which, Duration)> },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -165,6 +175,8 @@
     wipe: bool,
     #[serde(default)]
     cut_journal: bool,
+    kill: Option<Spanned<String>>,
+    after: Option<Span>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -239,6 +251,18 @@
             "stop" => Some(Deed::Stop { lasts: lasts()? }),
             "kill" => Some(Deed::Kill { back, folder }),
             "term" => Some(Deed::Term { back, folder }),
+            "upgrade" => {
+                let which = match one.kill.as_ref().map(|k| (k, k.get_ref().as_str())) {
+                    None => None,
+                    Some((_, "old")) => Some(Which::Old),
+                    Some((_, "new")) => Some(Which::New),
+                    Some((place, other)) => {
+                        return Err(reader.error(place, format!("'{other}' is neither \"old\" nor \"new\"")));
+                    }
+                };
+                let after = one.after.map_or(Duration::ZERO, |a| a.0);
+                Some(Deed::Upgrade { kill: which.map(|w| (w, after)) })
+            }
             _ => None,
         };
         if let Some(deed) = deed {
@@ -259,7 +283,7 @@
                 Way::Delay { by: by.0 }
             }
             other => {
-                let known = "cut, drop, delay, stall, reset, stop, kill or term";
+                let known = "cut, drop, delay, stall, reset, stop, kill, term or upgrade";
                 return Err(reader.error(&one.kind, format!("'{other}' is not {known}")));
             }
         };
--- a/crates/rehearsal/src/senders.rs
+++ b/crates/rehearsal/src/senders.rs
@@ -96,6 +96,10 @@
     program: PathBuf,
     folder: PathBuf,
     child: Option<Child>,
+    /// The process before this one, and its life, while there are two.
+    old: Option<(Child, u32)>,
+    /// It has an operators' address.
+    pub operated: bool,
     /// One more with each start and each end.
     life: u32,
     /// Speaks Web Push too.
@@ -155,6 +159,8 @@
             program: program.to_owned(),
             folder,
             child: None,
+            old: None,
+            operated: false,
             life: 0,
             push: false,
             fleet: false,
@@ -206,6 +212,9 @@
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(Stdio::piped());
+        if self.operated {
+            command.env("NODE_OPERATOR", "127.0.0.1:0");
+        }
         if self.push {
             command.arg("--webpush").arg(self.folder.join("webpush.toml"));
         }
@@ -268,13 +277,54 @@
 
     pub fn kill(&mut self) {
         self.life += 1;
-        if let Some(mut child) = self.child.take() {
+        for mut child in self.child.take().into_iter().chain(self.old.take().map(|o| o.0)) {
             let _ = child.kill();
             let _ = child.wait();
         }
         (self.address, self.pushes, self.status) = (None, None, None);
     }
 
+    /// Started once more, beside itself.
+    pub fn start_beside(
+        &mut self,
+        heard: Channel<Word>,
+        waker: Arc<mio::Waker>,
+        breakage: Option<&str>,
+    ) -> Result<(), RunError> {
+        self.old = self.child.take().map(|child| (child, self.life));
+        self.start(heard, waker, breakage)
+    }
+
+    /// Ends the old one of two by SIGTERM, if it is there still; it has passed all on by then.
+    pub fn end_old(&mut self) {
+        if let Some((child, _)) = &self.old {
+            let _ = Command::new("kill").args(["-TERM", &child.id().to_string()]).status();
+        }
+    }
+
+    /// Kills the old one of two; false if there is none any more.
+    pub fn kill_old(&mut self) -> bool {
+        let Some((mut child, _)) = self.old.take() else { return false };
+        let there = matches!(child.try_wait(), Ok(None));
+        let _ = child.kill();
+        let _ = child.wait();
+        there
+    }
+
+    /// Kills the new one of two; false if the old one is gone, so that nobody goes on.
+    pub fn kill_new(&mut self) -> bool {
+        let Some((mut old, life)) = self.old.take() else { return false };
+        if !matches!(old.try_wait(), Ok(None)) {
+            return false;
+        }
+        if let Some(mut child) = self.child.replace(old) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        self.life = life;
+        true
+    }
+
     /// Its lasting folder is lost.
     pub fn wipe(&self) {
         let _ = std::fs::remove_dir_all(self.folder.join("state"));
--- a/crates/rehearsal/src/stage.rs
+++ b/crates/rehearsal/src/stage.rs
@@ -16,7 +16,7 @@
 use cranehill_model::day::{Day, Effect, Signal, To};
 use cranehill_model::directory::{Directory, List, Listed, Row, Watch};
 use cranehill_model::fault::Kind;
-use cranehill_model::fleet::Folder;
+use cranehill_model::fleet::{Deed, Folder, Which};
 use cranehill_model::partner::{Asked, Connect, Fate, Partner, Reply, Spoilt};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token, Waker};
@@ -118,6 +118,10 @@
     Front(usize),
     Start(usize),
     Act(usize),
+    KillOne {
+        sender: usize,
+        which: Which,
+    },
     Resume(usize),
 }
 
@@ -355,6 +359,7 @@
             self.routed[sender] = true;
             return Ok(());
         }
+        self.senders[sender].operated = self.day.acts.iter().any(|a| matches!(a.deed, Deed::Upgrade { .. }));
         self.senders[sender].start(self.heard.0.clone(), self.waker.clone(), self.plan.breakage.as_deref())
     }
 
@@ -489,6 +494,8 @@
             }
             match heard {
                 Heard::Ready(sender, address) => {
+                    // The platform ends the old one of two once the new one says yes.
+                    self.senders[sender].end_old();
                     self.senders[sender].address = Some(address);
                     self.ready(sender, address);
                 }
@@ -573,6 +580,7 @@
             Timer::Start(sender) if self.senders[sender].is_running() => {}
             Timer::Start(sender) => self.start(sender)?,
             Timer::Act(n) => self.act(n),
+            Timer::KillOne { sender, which } => self.kill_one(sender, which),
             Timer::Resume(sender) => self.resume(sender),
         }
         Ok(())
--- a/crates/rehearsal/src/stage/fleet.rs
+++ b/crates/rehearsal/src/stage/fleet.rs
@@ -3,7 +3,7 @@
 use std::io::{Read, Write};
 use std::net::UdpSocket;
 
-use cranehill_model::fleet::{Act, Deed};
+use cranehill_model::fleet::{Act, Deed, Which};
 
 use super::*;
 use crate::between::Between;
@@ -48,11 +48,43 @@
                     self.at(now + lasts, Timer::Resume(sender));
                 }
                 Deed::Kill { back, folder } => self.end(sender, Signal::Kill, back, folder),
+                Deed::Upgrade { kill } => {
+                    let (heard, waker) = (self.heard.0.clone(), self.waker.clone());
+                    if let Err(e) =
+                        self.senders[sender].start_beside(heard, waker, self.plan.breakage.as_deref())
+                    {
+                        self.outcome.warnings.push(format!("sender {sender}: {e}"));
+                    }
+                    if let Some((which, after)) = kill {
+                        self.at(now + after, Timer::KillOne { sender, which });
+                    }
+                }
                 Deed::Term { back, folder } => self.end(sender, Signal::Term, back, folder),
             }
         }
     }
 
+    /// One of two processes of a sender is killed, wherever they have got to.
+    pub(super) fn kill_one(&mut self, sender: usize, which: Which) {
+        match which {
+            // The new one starts as after a kill.
+            Which::Old => {
+                if self.senders[sender].kill_old() {
+                    self.record(Some(sender), What::Gone, "the old process was killed");
+                }
+            }
+            Which::New => {
+                if self.senders[sender].kill_new() {
+                    // What it had been passed by then went with it; the old one goes on.
+                    self.record(Some(sender), What::Gone, "the new process was killed");
+                    self.record(Some(sender), What::Ready, "the old one goes on");
+                } else {
+                    self.end(sender, Signal::Kill, Some(BACK_AFTER), Folder::Kept);
+                }
+            }
+        }
+    }
+
     pub(super) fn resume(&mut self, sender: usize) {
         self.record(Some(sender), What::Ready, "SIGCONT");
         self.senders[sender].signal("CONT");
