Told waits pass on over several hand-overs; what is still cold is kept over a new version

Reproduced: two hand- overs inside one wait (tests/handover.rs, failed with a call after 59 ms).

Waits are told on by themselves now, also to recovery's peers, and one for a destination that is not listed yet is kept until it is.

Beside it: what is attached and still cold goes into the folder, so that neither a new version nor a restart pushes it; a call whose connection was still coming up at a hand-over never ran; the socket is asked only when somebody came.

--- a/crates/core/src/detach.rs
+++ b/crates/core/src/detach.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
 use tansycroft::Time;
 use tansycroft::api::{Condition, EndpointId, Entry, Event};
 
@@ -14,6 +15,15 @@
 /// An id longer than this is nobody's.
 const ID_MOST: usize = 128;
 
+/// What the next process over the folder must know.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Detachments {
+    /// Endpoints that are out.
+    pub out: Vec<String>,
+    /// Attached again and still cold, each with the Unix time in nanoseconds since when.
+    pub back: Vec<(String, u64)>,
+}
+
 #[derive(Debug, Default)]
 pub(crate) struct Detached {
     /// Those that are out, and when each was last listed or asked for.
@@ -59,29 +69,42 @@
             false if known => drop(self.detached.out.insert(id.clone(), now)),
             false => {}
         }
-        let out = self.detached.out.keys().map(|id| id.0.clone()).collect();
-        // What stands connected is of the endpoint as it was: it may be restarted before it is attached.
-        let mut effects = vec![Effect::Detached { by, known, out }];
+        let mut effects = Vec::new();
         if listed && was_out == back && known {
-            effects.insert(0, Effect::CloseIdle(id.clone()));
             if !back {
                 self.detached.returning.remove(&id);
-                effects.insert(0, Effect::HoldBack { endpoints: vec![id.clone()] });
+                effects.push(Effect::HoldBack { endpoints: vec![id.clone()] });
             } else {
                 self.detached.returning.insert(id.clone(), now);
                 self.sender.bar_endpoint(&id);
             }
+            // What stands connected is of the endpoint as it was: it may be restarted before it is attached.
+            effects.push(Effect::CloseIdle(id.clone()));
             self.tell_listed(&id);
         }
+        let detached = &self.detached;
+        let now = Detachments {
+            out: detached.out.keys().map(|id| id.0.clone()).collect(),
+            back: detached.returning.iter().map(|(id, since)| (id.0.clone(), since.0)).collect(),
+        };
+        effects.push(Effect::Detached { by, known, now });
         effects
     }
 
     /// What an earlier life of this sender had detached.
-    pub fn detached_before(&mut self, out: Vec<String>) {
-        for id in out.into_iter().filter(|id| id.len() <= ID_MOST).take(MOST).map(EndpointId) {
-            self.detached.out.insert(id.clone(), self.now);
+    pub fn detached_before(&mut self, before: Detachments) {
+        let (now, cold) = (self.now, self.cold());
+        for id in before.out.into_iter().filter(|id| id.len() <= ID_MOST).take(MOST).map(EndpointId) {
+            self.detached.out.insert(id.clone(), now);
             self.tell_listed(&id);
         }
+        for (id, since) in before.back.into_iter().take(MOST) {
+            // A clock that was ahead must not keep it cold for longer than it is.
+            let (id, since) = (EndpointId(id), Time(since).min(now));
+            if now - since < cold && self.list.contains_key(&id) {
+                self.detached.returning.insert(id, since);
+            }
+        }
     }
 
     fn tell_listed(&mut self, id: &EndpointId) {
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -7,6 +7,7 @@
 use tansycroft::Time;
 use tansycroft::api::EndpointId;
 
+use crate::detach::Detachments;
 use crate::notice::{Answer, Closing, Envelope, Origin};
 
 /// One notice in a call.
@@ -57,11 +58,11 @@
     Full(Duration),
     /// A zone is left, tried or returned to, by the whole fleet.
     Zone(cranehill_zones::Change),
-    /// Keep which endpoints are detached now, then answer the operator; `known` is false where nobody holds what was asked.
+    /// Keep what is detached `now`, then answer the operator; `known` is false where nobody holds what was asked.
     Detached {
         by: usize,
         known: bool,
-        out: Vec<String>,
+        now: Detachments,
     },
     /// Of the fleet's members.
     Fleet(membership::Effect),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,6 +19,7 @@
 mod reducer;
 mod zones;
 
+pub use detach::Detachments;
 pub use effect::{Attempt, Effect, Record};
 pub use input::{AttemptEnd, Input, Kept};
 pub use notice::{Answer, Closing, Envelope, Listing, Notice, Origin};
--- a/crates/core/src/recovery.rs
+++ b/crates/core/src/recovery.rs
@@ -100,7 +100,7 @@
 
     pub(crate) fn adopt(&mut self, bytes: &[u8]) {
         match recovery::unpack(bytes) {
-            Ok(learnt) => self.adopted = Some(learnt),
+            Ok(learnt) => self.adopted = learnt,
             Err(why) => log::error!("hand-over: what was learnt: {why}"),
         }
     }
@@ -141,10 +141,10 @@
         if events.iter().any(|e| matches!(e, Event::Lapsed(_))) {
             return (Vec::new(), events);
         }
-        if let Some(learnt) = self.adopted.take() {
+        if !self.adopted.is_empty() {
             let (lists, rest) = split_lists(events);
             let actions = self.sender.handle(self.now, lists);
-            self.sender.carry_on(self.now, &learnt);
+            self.adopted = self.sender.carry_on(self.now, std::mem::take(&mut self.adopted));
             return (actions, rest);
         }
         let due = self.recovery.as_mut().and_then(|r| r.recall(self.now));
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -84,8 +84,8 @@
     pub(crate) detached: Detached,
     /// No new attempts: another process is about to take over.
     quiet: bool,
-    /// What the process before this one knew, until the list is there.
-    pub(crate) adopted: Option<Vec<Learnt>>,
+    /// What the process before this one knew, until the list has what it is about.
+    pub(crate) adopted: Vec<Learnt>,
     /// What the members said when it was looked at last.
     said: Vec<(std::net::SocketAddr, Vec<u8>)>,
     pub breaches: Breaches,
@@ -129,7 +129,7 @@
             zones: None,
             detached: Detached::default(),
             quiet: false,
-            adopted: None,
+            adopted: Vec::new(),
             said: Vec::new(),
             breaches: Breaches::default(),
         })
--- a/crates/cranehill/tests/handover.rs
+++ b/crates/cranehill/tests/handover.rs
@@ -71,6 +71,10 @@
     client.send(&request[30..]);
     assert_eq!(client.line(), "+OK");
     assert_eq!(calls.recv_timeout(SOON).expect("a call").0, "00000000000000b7");
+    // Once more inside the wait: the second process has never called that partner, and knows of the wait all the same.
+    let old = new;
+    let new = beside(&known, &platform, folder.path());
+    assert_eq!(new.clients, old.clients);
     let (_, again) = turned_away.recv_timeout(SOON).expect("a call");
     assert!(again - first >= waits, "the wait was told to one sender: {:?}", again - first);
     assert_eq!(Client::new(new.clients).put("00000000000000c7", SEVEN, b"new"), "+OK");
--- a/crates/daemon/src/handover.rs
+++ b/crates/daemon/src/handover.rs
@@ -178,11 +178,10 @@
 
     /// Whether somebody asks, and still does.
     pub fn is_asked(&mut self) -> bool {
-        if let Ok((stream, _)) = self.listener.accept()
-            && self.asking.is_none()
-            && greeted(&stream)
-        {
-            self.asking = Some(stream);
+        while let Ok((stream, _)) = self.listener.accept() {
+            if self.asking.is_none() && greeted(&stream) {
+                self.asking = Some(stream);
+            }
         }
         // Nothing more comes from there: what can be read is its end.
         self.asking.take_if(|s| !matches!(s.read(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock));
--- a/crates/daemon/src/reactor.rs
+++ b/crates/daemon/src/reactor.rs
@@ -470,7 +470,8 @@
         for token in tokens {
             match token {
                 CLIENTS | PUSHES => self.accept(token),
-                SIGNALS | HALT | HANDOVER => {}
+                SIGNALS | HALT => {}
+                HANDOVER => self.handover.iter_mut().for_each(|end| end.called = true),
                 FLEET => self.hear_fleet(),
                 STATUS | OPERATOR => self.accept_operators(token),
                 Token(link) => self.pump(link),
@@ -602,7 +603,7 @@
                 }
                 Effect::Fleet(effect) => self.on_fleet(effect),
                 Effect::Zone(change) => fleet::tell_zone(&change, &self.site.names.zones),
-                Effect::Detached { by, known, out } => self.detached(by, known, &out),
+                Effect::Detached { by, known, now } => self.detached(by, known, &now),
                 Effect::Remember(bytes) => self.remember(&bytes),
                 Effect::Full(took) => {
                     log::info!(event = "full", took_ms = took.as_millis() as u64;
--- a/crates/daemon/src/reactor/handover.rs
+++ b/crates/daemon/src/reactor/handover.rs
@@ -8,6 +8,8 @@
 /// The end of this process that passes on.
 pub(super) struct End {
     giver: Giver,
+    /// Somebody has come to the socket since it was looked at.
+    pub(super) called: bool,
     /// Since when attempts are held back for it.
     quiet: Option<Time>,
 }
@@ -17,7 +19,7 @@
     pub(super) fn open(dir: &std::path::Path, registry: &mio::Registry) -> Option<End> {
         let opened = Giver::open(dir).and_then(|giver| {
             registry.register(&mut SourceFd(&giver.listener().as_raw_fd()), HANDOVER, Interest::READABLE)?;
-            Ok(End { giver, quiet: None })
+            Ok(End { giver, called: false, quiet: None })
         });
         opened
             .inspect_err(|e| log::warn!("hand-over: no socket in the folder: {e}; none will be possible"))
@@ -35,7 +37,10 @@
     /// Holds back attempts while somebody asks for all; true once everything has been passed on and this process is over.
     pub(super) fn pass_on(&mut self) -> bool {
         let now = self.clock.now();
-        let Some(end) = &mut self.handover else { return false };
+        let Some(end) = self.handover.as_mut().filter(|e| e.called || e.quiet.is_some()) else {
+            return false;
+        };
+        end.called = false;
         let asked = end.giver.is_asked();
         match (asked, end.quiet) {
             (true, None) => {
@@ -76,11 +81,11 @@
         let out = |l: &Link| matches!(l.role, Role::Partner { call: Some(_), .. });
         let late: Vec<usize> = self.links.iter().filter(|(_, l)| out(l)).map(|(&id, _)| id).collect();
         for id in late {
-            if let Some(Link { role: Role::Partner { call: Some(out), .. }, up: true, .. }) =
-                self.drop_link(id)
-            {
-                self.end_call(out, &Told::all(Status::TimedOut));
-            }
+            let Some(Link { role: Role::Partner { call: Some(out), .. }, up, .. }) = self.drop_link(id)
+            else {
+                continue;
+            };
+            self.end_call(out, &Told::all(if up { Status::TimedOut } else { Status::NoConnection }));
         }
         // All that clients have sent is read, kept and answered first.
         let clients: Vec<usize> =
--- a/crates/daemon/src/reactor/operator.rs
+++ b/crates/daemon/src/reactor/operator.rs
@@ -32,12 +32,13 @@
     let read = beside::DETACHED.read(dir).map(|bytes| bytes.map(|b| serde_json::from_slice(&b)));
     match read.map_err(|e| e.to_string()).and_then(|r| r.transpose().map_err(|e| e.to_string())) {
         Ok(None) => {}
-        Ok(Some(out)) => {
-            let out: Vec<String> = out;
-            if !out.is_empty() {
+        Ok(Some(before)) => {
+            let before: core::Detachments = before;
+            if !before.out.is_empty() {
+                let out = &before.out;
                 log::info!(event = "detached", endpoints = out.len(); "operator: detached still: {out:?}");
             }
-            core.detached_before(out);
+            core.detached_before(before);
         }
         Err(e) => {
             log::error!("operator: what was detached can't be read, so all that is listed is used: {e}")
@@ -155,13 +156,14 @@
     }
 
     /// What a call to detach or attach came to. What was done is in the folder first, or is answered as not done.
-    pub(super) fn detached(&mut self, by: usize, known: bool, out: &[String]) {
+    pub(super) fn detached(&mut self, by: usize, known: bool, now: &core::Detachments) {
         let kept = match (&self.state_dir, known) {
-            (Some(dir), true) => beside::DETACHED.write(dir, json!(out).to_string().as_bytes()),
+            (Some(dir), true) => beside::DETACHED.write(dir, json!(now).to_string().as_bytes()),
             _ => Ok(()),
         };
         let answer = match (kept, known) {
             (Ok(()), true) => {
+                let out = &now.out;
                 log::info!(event = "detached", endpoints = out.len(); "operator: detached now: {out:?}");
                 yes()
             }
--- a/src/brain/learnt.rs
+++ b/src/brain/learnt.rs
@@ -50,7 +50,23 @@
             for &l in lanes {
                 let lane = &self.lanes[l];
                 let used = lane.endpoints.iter().map(|&e| &self.endpoints[e]).filter(|e| e.uses > 0);
-                let Some(at) = used.map(|e| e.last_answer.max(lane.cut_at)).max() else { continue };
+                let shut_until = Some(lane.shut_until).filter(|t| *t > self.now);
+                let Some(at) = used.map(|e| e.last_answer.max(lane.cut_at)).max() else {
+                    // A wait that was only recalled, or told by an endpoint that has gone, holds all the same: it is told on
+                    // alone, since nothing else of this destination is known by own calls.
+                    let (route, at) = (self.route(l), self.now);
+                    let wait = |end| Learnt {
+                        dest: dest.0,
+                        route,
+                        at,
+                        window: None,
+                        limit: None,
+                        shut_until: Some(end),
+                        state: None,
+                    };
+                    all.extend(shut_until.map(wait));
+                    continue;
+                };
                 let state = match lane.health.mode {
                     Mode::Up => Seen::Up,
                     Mode::Down { .. } => Seen::Out,
@@ -62,7 +78,7 @@
                     at,
                     window: Some(lane.window.size()),
                     limit: lane.demand.told,
-                    shut_until: Some(lane.shut_until).filter(|t| *t > self.now),
+                    shut_until,
                     state: Some(state),
                 });
             }
@@ -107,22 +123,27 @@
     }
 
     /// Goes on where another process for this very sender has stopped just now: nothing of it is old, and no other sender
-    /// does the same at this moment.
-    pub fn carry_on(&mut self, now: Time, learnt: &[Learnt]) {
+    /// does the same at this moment. Gives back what is of destinations that are not listed yet and must still be heeded.
+    pub fn carry_on(&mut self, now: Time, learnt: Vec<Learnt>) -> Vec<Learnt> {
         self.now = self.now.max(now);
-        let known: BTreeMap<(u64, Option<&str>), &Learnt> =
-            learnt.iter().map(|k| ((k.dest, k.route.as_deref()), k)).collect();
-        let places: Vec<(u64, usize)> =
-            self.dests.iter().flat_map(|(dest, lanes)| lanes.iter().map(|&l| (dest.0, l))).collect();
-        for (dest, l) in places {
-            let (route, jitter, rules) = (self.route(l), self.jitter(), self.set.rules);
-            let Some(known) = known.get(&(dest, route.as_deref())) else { continue };
+        let mut places: BTreeMap<(u64, Option<String>), usize> = BTreeMap::new();
+        for (dest, lanes) in &self.dests {
+            places.extend(lanes.iter().map(|&l| ((dest.0, self.route(l)), l)));
+        }
+        let mut left = Vec::new();
+        for known in learnt {
+            let Some(&l) = places.get(&(known.dest, known.route.clone())) else {
+                left.extend(Some(known).filter(|k| k.shut_until.is_some_and(|end| end > self.now)));
+                continue;
+            };
+            let (jitter, rules) = (self.jitter(), self.set.rules);
             let lane = &mut self.lanes[l];
             lane.shut_until = lane.shut_until.max(known.shut_until.unwrap_or_default());
-            lane.take(known, self.now, &rules, jitter);
+            lane.take(&known, self.now, &rules, jitter);
             lane.window.size = known.window.unwrap_or(lane.window.size).clamp(FLOOR, lane.window.cap);
             lane.proven_window = lane.window.clone();
         }
+        left
     }
 
     /// The endpoint that stands for a lane, where routes are apart.
