An emptying or ending sender answers what a client has pipelined before it closes

At fault: close_after in door.rs, set without a look at what is unread. tests/operator.rs sends two requests in one write; the second went unanswered without the change.

--- a/crates/cranehill/tests/operator.rs
+++ b/crates/cranehill/tests/operator.rs
@@ -141,8 +141,9 @@
     let request = put("00000000000000b0", NAMES, b"slow");
     busy.send(&request[..20]);
     assert_eq!(idle.line(), "<end>");
-    busy.send(&request[20..]);
-    assert_eq!((busy.line(), busy.line()), ("+OK".into(), "<end>".into()));
+    // With a second one behind it in the same write: neither goes unanswered.
+    busy.send(&[&request[20..], &put("00000000000000b1", NAMES, b"next")].concat());
+    assert_eq!((busy.line(), busy.line(), busy.line()), ("+OK".into(), "+OK".into(), "<end>".into()));
     // The front may still send somebody here.
     assert_eq!(Client::new(sender.clients).put("00000000000000c0", NAMES, b"late"), "+OK");
     assert_eq!(call(&sender, "PUT", "/_lameduck/off"), 200);
--- a/crates/daemon/src/reactor/door.rs
+++ b/crates/daemon/src/reactor/door.rs
@@ -42,6 +42,12 @@
     waits && link.written_out()
 }
 
+/// Whether a client has sent nothing yet beyond what was dealt with: what is unread must not go with its connection.
+fn nothing_unread(link: &mut Link) -> bool {
+    link.fill();
+    link.input.is_empty()
+}
+
 /// In which order connections without a request end where places run out: those that never asked, once they
 /// had time to; those that may end at any time by the platform's rules; who asked lately; and fresh ones, whose
 /// request is on its way and would fail. When a sender stops, all its clients come to another at once.
@@ -147,7 +153,8 @@
             _ => return,
         }
         // At the end of the process, and while the sender is emptied, a connection closes between requests.
-        link.close_after |= self.clients.is_none() && self.pushes.is_none() || self.lame.is_some();
+        let over = self.clients.is_none() && self.pushes.is_none() || self.lame.is_some();
+        link.close_after |= over && nothing_unread(link);
         self.say(id, &bytes);
         // Not dealt with here: a client that pipelines what is answered at once would have us call ourselves
         // until the stack is full.
@@ -207,7 +214,7 @@
             let wrong = match request {
                 clients::Request::Ping if self.lame.is_some() => {
                     // Who asks is told to send others elsewhere; what comes here all the same is served.
-                    link.close_after = true;
+                    link.close_after = nothing_unread(link);
                     self.say(id, &clients::error("emptying, for operators"));
                     continue;
                 }
