--- a/crates/daemon/src/reactor/handover.rs
+++ b/crates/daemon/src/reactor/handover.rs
@@ -116,8 +116,9 @@
             }
             giver.pass_client(link.stream.as_fd(), link.input.clone(), link.asked)?;
             // Passed on, it counts there: the two together hold no more than one did.
-            let mut link = self.links.remove(&id).into_iter();
-            link.by_ref().for_each(|mut l| drop(self.poll.registry().deregister(&mut l.stream)));
+            if let Some(mut link) = self.links.remove(&id) {
+                let _ = self.poll.registry().deregister(&mut link.stream);
+            }
             passed += 1;
         }
         giver.end()?;
