A call has one wait for all its notices: none is taken for delivered after its time

Followed by id with new trace lines (client, call, end of attempt, report, its 204): each lost one was in a call of several. One of them had run out of time alone (Reactor::call_due took it out and left the rest of the call on); what the answer then said of the rest did not count as delivered, and nothing further was sent for them. Ruled out: answers read late (raw answers traced), a report lost, a spoilt answer read as done. Mend: the decisions say which messages share a call (Action::Send.call), a call has one wait within the time of each, and who has less time left than a call usually takes, or may not be repeated, does not share one that is too short for it. Such a call is broken off whole, also at a spoilt or cut answer (break_off, one way in place of three). The tests were seen to fail with the shared wait taken out.

--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -18,10 +18,8 @@
     pub key: Option<String>,
     pub body: Arc<[u8]>,
     pub envelope: Option<Arc<Envelope>>,
-    /// When the wait for it ends.
+    /// When the wait for it ends: the same for all that share a call.
     pub until: Time,
-    /// It is out of time then, so its call need not be broken off for a further attempt.
-    pub last: bool,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -47,6 +47,14 @@
     pub(crate) address: String,
 }
 
+/// A call about to go out.
+struct Going {
+    number: u64,
+    endpoint: EndpointId,
+    address: String,
+    attempts: Vec<Attempt>,
+}
+
 /// What must hold, counted where it does not. Debug builds stop instead.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct Breaches {
@@ -389,15 +397,15 @@
         }
         let (mut actions, events) = self.recall(events);
         actions.extend(self.sender.handle(self.now, events));
-        let mut calls: Vec<(EndpointId, String, Vec<Attempt>)> = Vec::new();
+        let mut calls: Vec<Going> = Vec::new();
         let mut sent = Vec::new();
         for action in actions {
             match action {
-                Action::Send { id, endpoint, timeout } => {
+                Action::Send { id, endpoint, timeout, call } => {
                     if self.stopping {
                         continue;
                     }
-                    self.on_send(id.0, endpoint, timeout, &mut calls, &mut sent);
+                    self.on_send(id.0, endpoint, timeout, call, &mut calls, &mut sent);
                 }
                 Action::Refuse { id, after } => self.on_final(id.0, after, true),
                 Action::Fail(id) => self.on_final(id.0, None, false),
@@ -430,7 +438,7 @@
         );
         self.records.append(&mut sent);
         answers.append(&mut self.deferred);
-        for (endpoint, address, attempts) in calls {
+        for Going { endpoint, address, attempts, .. } in calls {
             if breakage::is(Breakage::TwoCopies) {
                 let (endpoint, address, attempts) = (endpoint.clone(), address.clone(), attempts.clone());
                 answers.push(Effect::Call { endpoint, address, attempts });
@@ -453,7 +461,8 @@
         id: String,
         endpoint: EndpointId,
         timeout: Duration,
-        calls: &mut Vec<(EndpointId, String, Vec<Attempt>)>,
+        call: u64,
+        calls: &mut Vec<Going>,
         sent: &mut Vec<Record>,
     ) {
         let Some(held) = self.held.get_mut(&id) else {
@@ -477,21 +486,25 @@
             body: held.notice.body.clone(),
             envelope: held.notice.envelope.clone(),
             until,
-            last: until >= held.deadline,
         };
         if let Some(recovery) = &mut self.recovery {
             recovery.owed.moved(of, &id);
         }
         sent.push(Record::Sent { id, attempt: number, endpoint: endpoint.0.clone(), at: self.now.0 });
-        // What one turn sends to one endpoint travels together, as far as its kind allows.
-        let most = self.set.kinds.get(partner.endpoint.kind).map_or(1, |k| k.per_call.max(1)) as usize;
         // A call's body is bounded like any other: large notices must not share one.
         let size = |a: &Attempt| a.body.len() * 4 / 3 + a.key.as_ref().map_or(0, String::len) + ITEM;
-        let fits =
-            |c: &[Attempt]| c.len() < most && c.iter().map(size).sum::<usize>() + size(&attempt) <= CALL_MOST;
-        match calls.iter_mut().find(|c| c.0 == endpoint && fits(&c.2)) {
-            Some(call) => call.2.push(attempt),
-            None => calls.push((endpoint, partner.address.clone(), vec![attempt])),
+        let fits = |c: &[Attempt]| c.iter().map(size).sum::<usize>() + size(&attempt) <= CALL_MOST;
+        match calls.iter_mut().find(|c| c.number == call && fits(&c.attempts)) {
+            Some(call) => {
+                call.attempts.push(attempt);
+                // One wait for all: what runs out alone would leave open what the answer says of the rest.
+                let until = call.attempts.iter().map(|a| a.until).min().unwrap_or(until);
+                call.attempts.iter_mut().for_each(|a| a.until = until);
+            }
+            None => {
+                let address = partner.address.clone();
+                calls.push(Going { number: call, endpoint, address, attempts: vec![attempt] });
+            }
         }
     }
 
--- a/crates/core/tests/reducer.rs
+++ b/crates/core/tests/reducer.rs
@@ -418,3 +418,25 @@
     }
     assert!(b.core.endpoints() < 10, "{}", b.core.endpoints());
 }
+
+/// Guards against a call that goes on after one of its notices has run out of time: see tests/shared_calls.rs. `short` has
+/// more time left than a call usually takes and less than the others wait, so it shares their call, and ends its wait.
+#[test]
+fn all_in_a_call_wait_until_the_same_moment() {
+    let mut b = Bench::new(0);
+    for (id, left) in [("m1", 20_000), ("short", 1500), ("m2", 20_000)] {
+        b.step(Input::Handed(notice(id, left)));
+    }
+    let (_, effects) = b.turn(5);
+    let mut shared = 0;
+    for effect in &effects {
+        if let Effect::Call { attempts, .. } = effect
+            && attempts.iter().any(|a| a.id == "short")
+        {
+            shared = attempts.len();
+            let until = Time(START + 1500 * 1_000_000);
+            assert!(attempts.iter().all(|a| a.until == until), "{attempts:?}");
+        }
+    }
+    assert!(shared > 1, "{effects:?}");
+}
--- a/crates/daemon/src/closing.rs
+++ b/crates/daemon/src/closing.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// The ids in the call that is out.
+    pub fn out(&self) -> Vec<&str> {
+        self.out.iter().map(|(id, _)| id.as_str()).collect()
+    }
+
     /// Whether there is nothing to report and no answer to wait for.
     pub fn idle(&self) -> bool {
         self.out.is_empty() && self.waiting.is_empty()
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -43,6 +43,20 @@
     },
 }
 
+impl Role {
+    /// For the log.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Role::Client { .. } => "client",
+            Role::Pusher { .. } => "app partner",
+            Role::Partner { .. } => "partner",
+            Role::Directory => "directory",
+            Role::Closing => "closing reports",
+            Role::Operator { .. } => "operator",
+        }
+    }
+}
+
 pub struct Link {
     pub stream: TcpStream,
     pub role: Role,
--- a/crates/daemon/src/reactor.rs
+++ b/crates/daemon/src/reactor.rs
@@ -585,7 +585,8 @@
                     let effects = self.core.step(self.clock.now(), Input::Kept(kept));
                     self.carry_out(effects);
                 }
-                Effect::Answer { to: Origin::Client(link), answer, .. } => {
+                Effect::Answer { to: Origin::Client(link), id, answer } => {
+                    log::trace!("notice {id}: client {link} is told {answer:?}");
                     self.answer(link, clients::answer(answer));
                 }
                 Effect::Answer { to: Origin::Waiting(link), id, answer } => {
@@ -594,7 +595,10 @@
                 Effect::Answer { to: Origin::EarlierLife, .. } => {}
                 Effect::Call { endpoint, address, attempts } => self.call(endpoint, address, attempts),
                 Effect::Report { .. } if breakage::is(Breakage::DropsReports) => {}
-                Effect::Report { id, closing } => self.reports.add(id, closing),
+                Effect::Report { id, closing } => {
+                    log::trace!("notice {id}: to be reported as {closing:?}");
+                    self.reports.add(id, closing);
+                }
                 Effect::HoldBack { endpoints } => self.hold_back(&endpoints),
                 Effect::CloseIdle(endpoint) => self.close_idle(&endpoint),
                 Effect::Check { endpoint, address } => self.check(endpoint, address),
@@ -664,7 +668,15 @@
     }
 
     fn drop_link(&mut self, link: usize) -> Option<Link> {
+        let id = link;
         let mut link = self.links.remove(&link)?;
+        log::trace!(
+            "connection {id}: {} closed, ended by the other side: {}, {} bytes read, {} not written",
+            link.role.name(),
+            link.ended,
+            link.input.len(),
+            link.output.len() - link.written
+        );
         let _ = self.poll.registry().deregister(&mut link.stream);
         Some(link)
     }
@@ -705,7 +717,7 @@
         match link.role {
             Role::Partner { endpoint, call: Some(out), .. } => {
                 log::debug!("partner {endpoint}: no connection, {why}");
-                self.end_call(out, &Told::all(Status::NoConnection));
+                self.end_call(out, &Told::all(Verdict::of(Status::NoConnection)));
             }
             Role::Partner { endpoint, check: Some(_), .. } => {
                 self.step(Input::Checked { endpoint, status: Status::NoConnection });
@@ -759,29 +771,9 @@
         let still = self.links.get(&id).is_some_and(|l| self.link_due(l).is_some_and(|t| t <= now));
         let Some(link) = self.links.get_mut(&id).filter(|_| still) else { return };
         let sent = link.up && link.written_out();
-        match &mut link.role {
-            Role::Partner { call: Some(out), .. } if sent => {
-                // A notice that is out of time ends alone; one that may be tried again must not have a copy
-                // out, so its call is broken off, with all that it carries.
-                let (due, rest): (Vec<Attempt>, Vec<Attempt>) =
-                    std::mem::take(&mut out.attempts).into_iter().partition(|a| a.until <= now);
-                let alone = !rest.is_empty() && due.iter().all(|a| a.last);
-                let ended = if alone {
-                    out.attempts = rest;
-                    Out { attempts: due, ids: out.ids.clone(), started: out.started }
-                } else {
-                    let ended = Out {
-                        attempts: due.into_iter().chain(rest).collect(),
-                        ids: out.ids.clone(),
-                        started: out.started,
-                    };
-                    self.drop_link(id);
-                    ended
-                };
-                if !ended.attempts.is_empty() {
-                    self.end_call(ended, &Told::all(Status::TimedOut));
-                }
-            }
+        match &link.role {
+            // A further attempt must not have this one beside it: the call is broken off, with all that it carries.
+            Role::Partner { call: Some(_), .. } if sent => self.break_off(id, calls::Cut::OutOfTime),
             Role::Partner { call: Some(_), .. } | Role::Partner { check: Some(_), .. } => {
                 self.broken(id, "no answer in time");
             }
@@ -837,7 +829,7 @@
 }
 
 impl Told {
-    fn all(status: Status) -> Told {
-        Told { verdicts: vec![Verdict::of(status)], wait: None, report: None }
+    fn all(verdict: Verdict) -> Told {
+        Told { verdicts: vec![verdict], wait: None, report: None }
     }
 }
--- a/crates/daemon/src/reactor/calls.rs
+++ b/crates/daemon/src/reactor/calls.rs
@@ -14,6 +14,17 @@
     (!link.input.is_empty()).then(|| link.used + STALL)
 }
 
+/// Why a call ends without a whole answer.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Cut {
+    /// Its time is over.
+    OutOfTime,
+    /// What came can't be read, stalls, or does not end.
+    Spoilt,
+    /// The other side ended the connection; `written`: all of the call had gone out.
+    Ended { written: bool },
+}
+
 impl Reactor {
     /// Ends calls of which nothing has been written yet: they would arrive inside a told wait, or at an
     /// endpoint that drains or is gone.
@@ -29,7 +40,7 @@
             if let Role::Partner { call, .. } = &mut link.role
                 && let Some(out) = call.take()
             {
-                self.end_call(out, &Told::all(Status::NotSent));
+                self.end_call(out, &Told::all(Verdict::of(Status::NotSent)));
             }
         }
     }
@@ -98,12 +109,13 @@
                     Ok(id) => id,
                     Err(e) => {
                         log::info!("partner {endpoint} at {address}: {e}");
-                        return self.end_call(out, &Told::all(Status::NoConnection));
+                        return self.end_call(out, &Told::all(Verdict::of(Status::NoConnection)));
                     }
                 }
             }
         };
         if let Some(link) = self.links.get_mut(&id) {
+            log::trace!("notices {:?}: call to {endpoint} on connection {id}, up: {}", out.ids, link.up);
             if let Role::Partner { call, .. } = &mut link.role {
                 *call = Some(out);
             }
@@ -145,6 +157,7 @@
                 .or(told.verdicts.first())
                 .copied()
                 .unwrap_or(Verdict::of(Status::Error));
+            log::trace!("notice {}: attempt {} ended: {status:?}, over: {over}", attempt.id, attempt.number);
             ends.push(AttemptEnd {
                 id: attempt.id,
                 attempt: attempt.number,
@@ -216,38 +229,46 @@
             }
             Ok(None) if !ended && !stalled && link.input.len() < ANSWER_MOST => {}
             result => {
-                // An answer that can't be read, or does not end: it ran. The connection is of no further use.
-                let spoilt = result.is_err() || stalled || !ended;
-                let kept = link.answered > 0;
-                // The first line says it all for one notice; for several, the whole answer would.
-                let told = match http::first_line(&link.input) {
-                    Some(200..300) if push => Told {
-                        verdicts: vec![Verdict { status: Status::Served, over: true }],
-                        wait: None,
-                        report: None,
-                    },
-                    Some(200) if out.ids.len() == 1 => Told {
-                        verdicts: vec![Verdict { status: Status::Served, over: true }],
-                        wait: None,
-                        report: None,
-                    },
-                    // An answer that has begun and breaks off says, as a spoilt one does, that the partner is there.
-                    _ if spoilt || !link.input.is_empty() => Told::all(Status::Spoilt),
-                    // A connection that was kept and is dead at its next call says nothing of the partner.
-                    _ if kept && !written => Told::all(Status::NotSent),
-                    _ if kept => Told::all(Status::Dropped),
-                    _ if !written => Told::all(Status::NoConnection),
-                    _ => Told::all(Status::Reset),
-                };
-                if kept && link.input.is_empty() {
-                    // Those kept as long will be dead, too.
-                    self.trusted_idle = self.trusted_idle.min((link.gap / 2).max(TRUST_LEAST));
-                }
-                log::debug!("partner {endpoint}: call broken off, {result:?}");
-                let Some(out) = call.take() else { return };
-                self.drop_link(id);
-                self.end_call(out, &told);
+                let cut =
+                    if result.is_err() || stalled || !ended { Cut::Spoilt } else { Cut::Ended { written } };
+                self.break_off(id, cut);
             }
         }
     }
+
+    /// Ends a call whose answer has not come whole, and its connection: an answer that is still on its way must not be
+    /// read for the next call's.
+    pub(super) fn break_off(&mut self, id: usize, cut: Cut) {
+        let Some(mut link) = self.drop_link(id) else { return };
+        let Role::Partner { endpoint, call, .. } = &mut link.role else { return };
+        let Some(out) = call.take() else { return };
+        let push = out.attempts.iter().any(|a| a.envelope.is_some());
+        let (kept, begun) = (link.answered > 0, !link.input.is_empty());
+        let delivered = match http::first_line(&link.input) {
+            Some(200..300) if push => true,
+            // The first line says it all for one notice; for several, the whole answer would.
+            Some(200) => out.ids.len() == 1,
+            _ => false,
+        };
+        let status = match cut {
+            _ if delivered => Status::Served,
+            Cut::OutOfTime => Status::TimedOut,
+            // It ran. An answer that has begun and breaks off says, as a spoilt one does, that the partner is there.
+            Cut::Spoilt => Status::Spoilt,
+            Cut::Ended { .. } if begun => Status::Spoilt,
+            // A connection that was kept and is dead at its next call says nothing of the partner.
+            Cut::Ended { written } => match (kept, written) {
+                (true, false) => Status::NotSent,
+                (true, true) => Status::Dropped,
+                (false, false) => Status::NoConnection,
+                (false, true) => Status::Reset,
+            },
+        };
+        if kept && !begun && matches!(cut, Cut::Ended { .. }) {
+            // Those kept as long will be dead, too.
+            self.trusted_idle = self.trusted_idle.min((link.gap / 2).max(TRUST_LEAST));
+        }
+        log::debug!("partner {endpoint}: call broken off, {cut:?}: {status:?}");
+        self.end_call(out, &Told::all(Verdict { status, over: delivered }));
+    }
 }
--- a/crates/daemon/src/reactor/door.rs
+++ b/crates/daemon/src/reactor/door.rs
@@ -211,6 +211,7 @@
                     continue;
                 }
             };
+            let link_id = id;
             let wrong = match request {
                 clients::Request::Ping if self.lame.is_some() => {
                     // Who asks is told to send others elsewhere; what comes here all the same is served.
@@ -236,6 +237,11 @@
                         // Taken on, it could only be given up: nobody knows where it should go.
                         Ok(notice) if !self.core.knows(notice.partner) => Some("destination not known"),
                         Ok(notice) if room.is_ok() => {
+                            log::trace!(
+                                "notice {}: handed in on connection {link_id}, {:?} left",
+                                notice.id,
+                                notice.left
+                            );
                             *busy = true;
                             self.step(Input::Handed(notice));
                             None
--- a/crates/daemon/src/reactor/handover.rs
+++ b/crates/daemon/src/reactor/handover.rs
@@ -85,7 +85,8 @@
             else {
                 continue;
             };
-            self.end_call(out, &Told::all(if up { Status::TimedOut } else { Status::NoConnection }));
+            let status = if up { Status::TimedOut } else { Status::NoConnection };
+            self.end_call(out, &Told::all(Verdict::of(status)));
         }
         // All that clients have sent is read, kept and answered first.
         let clients: Vec<usize> =
--- a/crates/daemon/src/reactor/platform.rs
+++ b/crates/daemon/src/reactor/platform.rs
@@ -46,6 +46,7 @@
                     }
                 } else {
                     let told = self.reports.answered(response.status);
+                    log::trace!("reports {told:?} are with the platform");
                     if told.is_empty() {
                         self.report_at = self.clock.now() + closing::AGAIN;
                     } else {
@@ -135,6 +136,7 @@
             },
         };
         if let Some(bytes) = self.reports.next(&host) {
+            log::trace!("reports {:?} go out on connection {id}", self.reports.out());
             self.queue(id, bytes);
         }
     }
--- a/src/api.rs
+++ b/src/api.rs
@@ -357,6 +357,9 @@
         endpoint: EndpointId,
         /// Time-out of the attempt.
         timeout: Duration,
+        /// The call that it goes in: all with this number go together, and are waited for until the first of
+        /// their time-outs.
+        call: u64,
     },
     /// Final: handed back; trying again is harmless.
     Refuse {
--- a/src/bin/tansycroft-benchlink/wire.rs
+++ b/src/bin/tansycroft-benchlink/wire.rs
@@ -256,7 +256,7 @@
     pub fn new(sender: &str, action: Action) -> Out {
         let span = |d: Duration| u64::try_from(d.as_nanos()).unwrap_or(u64::MAX);
         let act = match action {
-            Action::Send { id, endpoint, timeout } => {
+            Action::Send { id, endpoint, timeout, .. } => {
                 Act::Send { msg_id: id.0, endpoint: endpoint.0, patience: span(timeout) }
             }
             Action::Refuse { id, after } => Act::SayNo { msg_id: id.0, stay_away: after.map(span) },
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -773,12 +773,8 @@
         let most = self.set.most_held - (self.set.most_held / 16).clamp(1, self.set.most_held);
         let excess = self.messages.len().saturating_sub(most);
         if excess > 0 {
-            let mut order: Vec<(f64, u64)> = self
-                .messages
-                .iter()
-                .filter(|(_, m)| m.out.is_none() && !m.over)
-                .map(|(&n, m)| (self.worth(m, self.now), n))
-                .collect();
+            let held = self.messages.iter().filter(|(_, m)| m.out.is_none() && !m.over);
+            let mut order: Vec<(f64, u64)> = held.map(|(&n, m)| (self.worth(m, self.now), n)).collect();
             order.sort_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
             order.into_iter().take(excess).for_each(|(_, n)| self.give_up(n));
         }
@@ -927,12 +923,8 @@
                 lane.toss_at = now + mean.max(RETEST);
             }
         }
-        let mut order: Vec<(f64, u64)> = self
-            .messages
-            .iter()
-            .filter(|(_, m)| m.out.is_none() && now >= m.not_before)
-            .map(|(&n, m)| (self.urgency(m), n))
-            .collect();
+        let ready = self.messages.iter().filter(|(_, m)| m.out.is_none() && now >= m.not_before);
+        let mut order: Vec<(f64, u64)> = ready.map(|(&n, m)| (self.urgency(m), n)).collect();
         order.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         let mut open: BTreeMap<usize, u64> = BTreeMap::new();
         for (_, number) in order {
@@ -965,13 +957,13 @@
         lanes
             .iter()
             .flat_map(|&l| self.lanes[l].endpoints.iter().copied())
-            .filter(|e| self.admits(number, m, *e, self.joins(*e, open)))
+            .filter(|e| self.admits(number, m, *e, self.joins(m, *e, open)))
             .min_by_key(|&e| {
                 let endpoint = &self.endpoints[e];
                 let far = endpoint.distance(self.set.zone);
                 // Of several that failed, the one that failed least: an outage need not be all of them's.
                 let failed = if self.shunned(endpoint) { endpoint.streak } else { 0 };
-                (!self.joins(e, open), failed, far, endpoint.out, endpoint.rank, e)
+                (!self.joins(m, e, open), failed, far, endpoint.out, endpoint.rank, e)
             })
     }
 
@@ -989,27 +981,36 @@
         lanes.filter(|&l| self.lanes[l].endpoints.iter().any(there)).collect()
     }
 
-    fn joins(&self, e: usize, open: &BTreeMap<usize, u64>) -> bool {
-        let most = self.lanes[self.endpoints[e].lane].kind.per_call;
-        open.get(&e).and_then(|c| self.calls.get(c)).is_some_and(|c| c.messages < most)
+    /// Whether a message may share this batch's call. A call has one wait, within the time of each and no
+    /// shorter than each needs: one that ran out alone would leave open what the answer says of the rest.
+    fn joins(&self, m: &Message, e: usize, open: &BTreeMap<usize, u64>) -> bool {
+        let Some(call) = open.get(&e).and_then(|c| self.calls.get(c)) else { return false };
+        let lane = &self.lanes[self.endpoints[e].lane];
+        let until = call.until.min(self.now + self.timeout(m, lane));
+        call.messages < lane.kind.per_call && call.least.max(self.least(m, lane)) <= until
+    }
+
+    /// The shortest wait that a call with it may have: what may not be repeated is lost by a shorter one.
+    fn least(&self, m: &Message, lane: &Lane) -> Time {
+        let unsafely = self.set.classes[m.class].effect == Effect::Unsafe;
+        let usual = Duration::from_secs_f64(self.times(lane, m.class).0);
+        self.now + if unsafely { self.timeout(m, lane) } else { usual }
     }
 
     fn send(&mut self, number: u64, e: usize, open: &mut BTreeMap<usize, u64>) {
         let now = self.now;
-        let joining = self.joins(e, open);
         let fresh = self.number();
         let Some(m) = self.messages.get(&number) else { return };
-        let lane = self.endpoints[e].lane;
+        let (joining, lane, class) = (self.joins(m, e, open), self.endpoints[e].lane, m.class);
         let timeout = self.timeout(m, &self.lanes[lane]);
-        let class = m.class;
+        let (until, least) = (now + timeout, self.least(m, &self.lanes[lane]));
         let call = if joining { open[&e] } else { fresh };
-        if joining {
-            if let Some(call) = self.calls.get_mut(&call) {
-                call.messages += 1;
-                call.waiting += 1;
-            }
+        if let Some(call) = self.calls.get_mut(&call) {
+            (call.messages, call.waiting) = (call.messages + 1, call.waiting + 1);
+            (call.until, call.least) = (call.until.min(until), call.least.max(least));
         } else {
-            let new = Call { endpoint: e, class, sent: now, messages: 1, waiting: 1, counted: false };
+            let (endpoint, sent, waiting, counted) = (e, now, 1, false);
+            let new = Call { endpoint, class, sent, until, least, messages: 1, waiting, counted };
             self.calls.insert(call, new);
             open.insert(e, call);
             let endpoint = &mut self.endpoints[e];
@@ -1030,7 +1031,7 @@
         if let Some(m) = self.messages.get_mut(&number) {
             m.out = Some(Attempt { number: m.attempts, endpoint: e, call, sent: now });
             m.attempts += 1;
-            self.acts.push(Action::Send { id: m.id.clone(), endpoint, timeout });
+            self.acts.push(Action::Send { id: m.id.clone(), endpoint, timeout, call });
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -69,6 +69,10 @@
     pub endpoint: usize,
     pub class: usize,
     pub sent: Time,
+    /// When the wait for it ends, for all that share it.
+    pub until: Time,
+    /// The wait must not end before this, for the sake of one of them.
+    pub least: Time,
     pub messages: u32,
     pub waiting: u32,
     pub counted: bool,
