A repeat is written inside its window or not at all, also where its connection comes up late

Followed by id, with a new trace line for the moment in which a call is written whole: the decision to repeat came 2.5 s after the first attempt, inside the window of 3 s; the connection came up 1.0 s later, and Reactor::pump wrote the call. The group was kept each time. Ruled out: a repeat decided on after the window (harmless() asks at the decision), a wrong group after a list's change, a restart. Mend: Action::Send says within what time it may be written (repeats_until, src/brain.rs), Attempt::write_by carries it, and the loop ends a call that is not written whole by then as never sent. A call of which only a part is written when its endpoint drains, or when its partner tells to wait, is withheld with its connection now; before, it went on. Which ends prove that nothing ran stands in one place (Status::never_ran), in place of two. Tests: late_connections (a window that shuts, an endpoint that drains, while the connection is on its way; both seen to fail with the guarding line out), rules (what is told).

--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -20,6 +20,8 @@
     pub envelope: Option<Arc<Envelope>>,
     /// When the wait for it ends: the same for all that share a call.
     pub until: Time,
+    /// A repeat that is not written whole by then must not be written: what it repeats may have run too long ago.
+    pub write_by: Option<Time>,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -55,6 +55,12 @@
     attempts: Vec<Attempt>,
 }
 
+/// How long a call may take: see [`Attempt`].
+struct Wait {
+    until: Time,
+    write_by: Option<Time>,
+}
+
 /// What must hold, counted where it does not. Debug builds stop instead.
 #[derive(Debug, Default, Clone, Copy)]
 pub struct Breaches {
@@ -338,10 +344,7 @@
             if let (Some(zones), Some((_, endpoint))) = (&mut self.zones, &out) {
                 note_zone(zones, &self.list, self.now, endpoint, end.status);
             }
-            let never_ran = matches!(
-                end.status,
-                Status::Refused | Status::NoConnection | Status::NotSent | Status::Gone | Status::Rejected
-            );
+            let never_ran = end.status.never_ran();
             held.maybe_ran.take_if(|(.., number)| never_ran && *number == end.attempt);
             held.gone |= end.status == Status::Gone;
             let over = end.over || end.status == Status::Served;
@@ -401,11 +404,11 @@
         let mut sent = Vec::new();
         for action in actions {
             match action {
-                Action::Send { id, endpoint, timeout, call } => {
-                    if self.stopping {
-                        continue;
-                    }
-                    self.on_send(id.0, endpoint, timeout, call, &mut calls, &mut sent);
+                Action::Send { .. } if self.stopping => {}
+                Action::Send { id, endpoint, timeout, call, write_within } => {
+                    let now = self.now;
+                    let wait = Wait { until: now + timeout, write_by: write_within.map(|left| now + left) };
+                    self.on_send(id.0, endpoint, wait, call, &mut calls, &mut sent);
                 }
                 Action::Refuse { id, after } => self.on_final(id.0, after, true),
                 Action::Fail(id) => self.on_final(id.0, None, false),
@@ -460,7 +463,7 @@
         &mut self,
         id: String,
         endpoint: EndpointId,
-        timeout: Duration,
+        wait: Wait,
         call: u64,
         calls: &mut Vec<Going>,
         sent: &mut Vec<Record>,
@@ -478,7 +481,7 @@
         held.attempts += 1;
         held.out = Some((number, endpoint.clone()));
         held.maybe_ran.get_or_insert_with(|| (self.now, endpoint.clone(), number));
-        let until = (self.now + timeout).min(held.deadline);
+        let until = wait.until.min(held.deadline);
         let attempt = Attempt {
             id: id.clone(),
             number,
@@ -486,6 +489,7 @@
             body: held.notice.body.clone(),
             envelope: held.notice.envelope.clone(),
             until,
+            write_by: wait.write_by,
         };
         if let Some(recovery) = &mut self.recovery {
             recovery.owed.moved(of, &id);
--- a/crates/cranehill/tests/common/mod.rs
+++ b/crates/cranehill/tests/common/mod.rs
@@ -2,13 +2,14 @@
 #![allow(dead_code)]
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
 use cranehill::rehearsal::{Reply, StandIn};
 use cranehill_daemon::config::{self, Config};
 use cranehill_daemon::http;
 use cranehill_daemon::reactor::{Halter, Reactor, Setup};
+use socket2::{Domain, Socket, Type};
 
 /// Longer than anything here takes: only a failure waits so long.
 pub const SOON: Duration = Duration::from_secs(10);
@@ -172,3 +173,16 @@
     }
     format!("{text}\n{}\n", String::from_utf8_lossy(&request.body))
 }
+
+/// A listener whose queue is full: further connections don't come up until it accepts.
+pub fn full_listener() -> (TcpListener, Vec<TcpStream>) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(&any.into()).expect("bound");
+    socket.listen(0).expect("listening");
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr().expect("an address");
+    let short = Duration::from_millis(100);
+    let fill = std::iter::from_fn(|| TcpStream::connect_timeout(&address, short).ok()).take(64).collect();
+    (listener, fill)
+}
--- /dev/null
+++ b/crates/cranehill/tests/late_connections.rs
@@ -0,0 +1,123 @@
+//! Connections that come up after their reason has gone: nothing may be written on them.
+
+mod common;
+
+use std::io::Read;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use common::*;
+use cranehill::rehearsal::{Reply, StandIn};
+
+const NAMES: &str = "c=episode-notice,d=20000,k=aa,dest=7";
+
+/// Lets what waits for `late` come up, and reads all that is written there until `over`, or until `id` is.
+fn written(late: &TcpListener, id: &str, over: impl Fn() -> bool) -> String {
+    late.set_nonblocking(true).expect("set");
+    let end = Instant::now() + SOON;
+    let (mut streams, mut bytes) = (Vec::new(), Vec::new());
+    loop {
+        // Looked at first: what was written before it was over is read.
+        let last = over();
+        while let Ok((stream, _)) = late.accept() {
+            stream.set_nonblocking(true).expect("set");
+            streams.push(stream);
+        }
+        for stream in &mut streams {
+            let _ = stream.read_to_end(&mut bytes);
+        }
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if last || text.contains(id) {
+            return text;
+        }
+        assert!(Instant::now() < end, "neither over nor written");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn reports(platform: &StandIn) -> Vec<String> {
+    let posts = platform.seen().into_iter().filter(|s| s.request.method == "POST");
+    posts.map(|s| String::from_utf8_lossy(&s.request.body).into_owned()).collect()
+}
+
+fn wait_for(flag: &AtomicBool) {
+    while !flag.load(Ordering::Relaxed) {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A platform whose list changes to this one when it is told so.
+fn changing(to: String) -> (StandIn, Arc<AtomicBool>) {
+    let told = Arc::new(AtomicBool::new(false));
+    let tell = told.clone();
+    let platform = StandIn::new(move |request, _| match request.path.as_str() {
+        "/v1/notices" => Reply::status(204),
+        path if path.contains("from=1&") => {
+            wait_for(&told);
+            Reply::Bytes(cranehill_daemon::http::write_response(200, "OK", &[], &to))
+        }
+        _ => Reply::Silent,
+    });
+    (platform.expect("platform"), tell)
+}
+
+/// Guards the window for repeats: the decision to repeat was in time, the connection came up when it no longer was, and the
+/// repeat went out all the same (narrow days of the other customer: "sent again outside its group or window").
+#[test]
+fn a_repeat_whose_connection_comes_up_after_its_window_is_not_written() {
+    let fail = Arc::new(AtomicBool::new(false));
+    let fails = fail.clone();
+    let first = StandIn::new(move |_, _| {
+        wait_for(&fails);
+        Reply::status(500)
+    })
+    .expect("partner");
+    let (late, fill) = full_listener();
+    let late_address = late.local_addr().expect("an address");
+    let window = Duration::from_millis(900);
+    let (a, b) = (("a", first.address, 7, "station"), ("b", late_address, 7, "station"));
+    let (platform, change) = changing(list(2, &[a, b]));
+    let sender = start_as(&list(1, &[a]), &platform, |setup| {
+        let class = &mut setup.site.settings.classes[0];
+        // A call is waited for for a quarter of the aim at least: longer than the connection takes.
+        (class.window, class.aim) = (window, Duration::from_secs(20));
+    });
+    let mut client = Client::new(sender.clients);
+    assert_eq!(client.put("m1", NAMES, b"x"), "+OK");
+    assert!(first.wait_for(1, SOON));
+    let ran = first.seen()[0].at;
+    change.store(true, Ordering::Relaxed);
+    assert!(platform.wait_for(2, SOON), "the watch that continues from the new list");
+    // It failed at the first endpoint, so the repeat goes to the second, whose connection does not come up yet.
+    fail.store(true, Ordering::Relaxed);
+    // The window's end is a moment of the clock, and the listener lets nothing up before it.
+    while ran.elapsed() < window {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    drop(fill);
+    let failed = || reports(&platform).iter().any(|r| r.contains(r#""id":"m1","state":"failed""#));
+    assert_eq!(written(&late, "m1", failed), "");
+    assert_eq!(first.seen().len(), 1);
+}
+
+/// Guards an endpoint that drains while a connection to it is on its way: what waits for it must not arrive there.
+#[test]
+fn a_call_whose_endpoint_drains_before_its_connection_is_up_is_not_written() {
+    let (late, fill) = full_listener();
+    let late_address = late.local_addr().expect("an address");
+    let other = StandIn::new(|_, _| Reply::status(200)).expect("partner");
+    let listed = list(2, &[("b", late_address, 7, "station"), ("c", other.address, 7, "station")]);
+    let (platform, change) = changing(listed.replacen(r#""state":"up""#, r#""state":"draining""#, 1));
+    let sender = start(&list(1, &[("b", late_address, 7, "station")]), &platform);
+    let mut client = Client::new(sender.clients);
+    assert_eq!(client.put("m1", NAMES, b"x"), "+OK");
+    change.store(true, Ordering::Relaxed);
+    // Once it asks from the new list on, the list has been read.
+    assert!(platform.wait_for(2, SOON), "the watch that continues");
+    drop(fill);
+    // It goes elsewhere, and nothing is written on what is on its way when the system has tried it again, after a second.
+    let settled = Instant::now() + Duration::from_millis(1200);
+    assert_eq!(written(&late, "m1", || Instant::now() > settled && !other.seen().is_empty()), "");
+}
--- a/crates/cranehill/tests/told_wait.rs
+++ b/crates/cranehill/tests/told_wait.rs
@@ -3,27 +3,12 @@
 mod common;
 
 use std::io::Read;
-use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use common::*;
 use cranehill::rehearsal::{Reply, StandIn};
-use socket2::{Domain, Socket, Type};
-
-/// A listener whose queue is full: further connections don't come up until it accepts.
-fn full_listener() -> (TcpListener, Vec<TcpStream>) {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
-    socket.bind(&any.into()).expect("bound");
-    socket.listen(0).expect("listening");
-    let listener = TcpListener::from(socket);
-    let address = listener.local_addr().expect("an address");
-    let short = Duration::from_millis(100);
-    let fill = std::iter::from_fn(|| TcpStream::connect_timeout(&address, short).ok()).take(64).collect();
-    (listener, fill)
-}
 
 #[test]
 fn a_call_that_waits_for_its_connection_is_held_back_by_a_told_wait() {
--- a/crates/daemon/src/reactor.rs
+++ b/crates/daemon/src/reactor.rs
@@ -534,7 +534,7 @@
             Role::Partner { call: Some(call), .. } => {
                 let first = call.attempts.iter().map(|a| a.until).min();
                 let connect = (!link.up).then(|| call.started + set.connect_timeout);
-                first.into_iter().chain(connect).chain(calls::stall(link)).min()
+                first.into_iter().chain(connect).chain(calls::stall(link)).chain(calls::write_by(link)).min()
             }
             Role::Partner { check: Some(at), .. } => Some(*at + set.connect_timeout),
             Role::Partner { .. } => Some(link.used + self.idle_limit()),
@@ -683,13 +683,22 @@
 
     /// Moves bytes on a connection and deals with what has come.
     fn pump(&mut self, id: usize) {
+        let Some(link) = self.links.get(&id) else { return };
+        if calls::write_by(link).is_some_and(|t| t <= self.clock.now()) {
+            log::debug!("connection {id}: a call is not sent, it may not be repeated any more");
+            self.withhold(id);
+        }
         let Some(link) = self.links.get_mut(&id) else { return };
         match link.check_up() {
             Ok(true) => {}
             Ok(false) => return,
             Err(e) => return self.broken(id, &e.to_string()),
         }
+        let due = !link.written_out();
         let flushed = link.flush();
+        if due && link.written_out() && matches!(link.role, Role::Partner { .. }) {
+            log::trace!("connection {id}: all of the call is written");
+        }
         let before = link.input.len();
         link.fill();
         if link.input.len() > before {
--- a/crates/daemon/src/reactor/calls.rs
+++ b/crates/daemon/src/reactor/calls.rs
@@ -14,6 +14,17 @@
     (!link.input.is_empty()).then(|| link.used + STALL)
 }
 
+/// When a call that is not written whole must not be any more, since a message in it may have run before and a repeat
+/// would leave the window of its class. Guards against connections that come up late: the decision was in time.
+pub(super) fn write_by(link: &Link) -> Option<Time> {
+    match &link.role {
+        Role::Partner { call: Some(out), .. } if !link.written_out() => {
+            out.attempts.iter().filter_map(|a| a.write_by).min()
+        }
+        _ => None,
+    }
+}
+
 /// Why a call ends without a whole answer.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Cut {
@@ -26,23 +37,28 @@
 }
 
 impl Reactor {
-    /// Ends calls of which nothing has been written yet: they would arrive inside a told wait, or at an
-    /// endpoint that drains or is gone.
+    /// Ends calls that are not written yet: they would arrive inside a told wait, or at an endpoint that drains or is
+    /// gone.
     pub(super) fn hold_back(&mut self, endpoints: &[EndpointId]) {
         let waits = |l: &Link| match &l.role {
-            Role::Partner { endpoint, call: Some(_), .. } => l.written == 0 && endpoints.contains(endpoint),
+            Role::Partner { endpoint, call: Some(_), .. } => !l.written_out() && endpoints.contains(endpoint),
             _ => false,
         };
         let ids: Vec<usize> = self.links.iter().filter(|(_, l)| waits(l)).map(|(&id, _)| id).collect();
-        for id in ids {
-            let Some(link) = self.links.get_mut(&id) else { continue };
-            link.output.clear();
-            if let Role::Partner { call, .. } = &mut link.role
-                && let Some(out) = call.take()
-            {
-                self.end_call(out, &Told::all(Verdict::of(Status::NotSent)));
-            }
+        ids.into_iter().for_each(|id| self.withhold(id));
+    }
+
+    /// Ends a call that is not written whole, so that it never runs. Its connection is kept, unless part of it is on it.
+    pub(super) fn withhold(&mut self, id: usize) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        let begun = link.written > 0;
+        link.output.clear();
+        let Role::Partner { call, .. } = &mut link.role else { return };
+        let Some(out) = call.take() else { return };
+        if begun {
+            self.drop_link(id);
         }
+        self.end_call(out, &Told::all(Verdict::of(Status::NotSent)));
     }
 
     pub(super) fn close_idle(&mut self, endpoint: &EndpointId) {
--- a/src/api.rs
+++ b/src/api.rs
@@ -256,6 +256,14 @@
     Rejected,
 }
 
+impl Status {
+    /// Whether it is certain that the message had no effect.
+    pub fn never_ran(self) -> bool {
+        use Status::{Gone, NoConnection, NotSent, Refused, Rejected};
+        matches!(self, Refused | NoConnection | NotSent | Gone | Rejected)
+    }
+}
+
 /// What a destination tells of its limit: late and noisy.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Report {
@@ -360,6 +368,9 @@
         /// The call that it goes in: all with this number go together, and are waited for until the first of
         /// their time-outs.
         call: u64,
+        /// It may have run before, and a repeat is harmless only so long: what is not written whole by then (its
+        /// connection came up late, say) must not be written at all.
+        write_within: Option<Duration>,
     },
     /// Final: handed back; trying again is harmless.
     Refuse {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -617,9 +617,7 @@
             lane.health.mode = Mode::Down { next, step: 0 };
         }
         let Some(message) = self.messages.get_mut(&number) else { return };
-        use Status::{Gone, NoConnection, NotSent, Refused, Rejected};
-        let may_have_run = !matches!(status, Refused | NoConnection | NotSent | Gone | Rejected);
-        if may_have_run {
+        if !status.never_ran() {
             message.maybe_ran.get_or_insert((out.sent, Some(out.endpoint)));
         }
         if matches!(status, Status::TimedOut | Status::Reset | Status::Dropped | Status::Cancelled)
@@ -745,13 +743,11 @@
         let Some(m) = self.messages.get(&number) else { return };
         let class = &self.set.classes[m.class];
         let (id, verdict) = (m.id.clone(), m.verdict);
-        let again = self.set.retry_after && verdict.is_none();
-        let after = again.then_some(self.set.max_retry_after / 2);
+        let after = (self.set.retry_after && verdict.is_none()).then_some(self.set.max_retry_after / 2);
         // Who is told to come again comes to any endpoint, after that wait.
         let anywhere = class.effect == Effect::Safe || class.dedup == DedupScope::All;
-        let harmless =
-            (m.maybe_ran.is_none() || anywhere) && self.harmless(m, self.now + after.unwrap_or_default());
-        let refused = harmless && verdict != Some(Status::Rejected);
+        let inside = self.harmless(m, self.now + after.unwrap_or_default());
+        let refused = (m.maybe_ran.is_none() || anywhere) && inside && verdict != Some(Status::Rejected);
         self.acts.push(if refused { Action::Refuse { id, after } } else { Action::Fail(id) });
         self.close(number);
     }
@@ -759,9 +755,9 @@
     /// Ends at once what can't be delivered any more.
     fn end_hopeless(&mut self) {
         let (now, margin) = (self.now, self.set.tick * 2);
-        let held = |m: &Message| m.out.is_none() && !m.over;
-        let ends = |m: &Message| held(m) && (m.deadline <= now + margin || !self.may_repeat(m));
-        let hopeless: Vec<u64> = self.messages.iter().filter(|(_, m)| ends(m)).map(|(&n, _)| n).collect();
+        let ends = |m: &Message| m.deadline <= now + margin || !self.may_repeat(m);
+        let held = self.messages.iter().filter(|(_, m)| m.out.is_none() && !m.over && ends(m));
+        let hopeless: Vec<u64> = held.map(|(&n, _)| n).collect();
         hopeless.into_iter().for_each(|n| self.give_up(n));
         self.keys.retain(|_, k| !k.line.is_empty() || k.rest_until > now);
     }
@@ -785,14 +781,18 @@
         m.attempts < self.set.attempts_cap && m.verdict.is_none() && self.harmless(m, self.now)
     }
 
-    /// Whether this message may come to its destination at `at`, though it may have run.
+    /// Until when this message may come to its destination though it may have run, if not at any time.
+    fn repeats_until(&self, m: &Message) -> Option<Time> {
+        let (class, (sent, _)) = (&self.set.classes[m.class], m.maybe_ran?);
+        match class.effect {
+            Effect::Safe => None,
+            Effect::Keyed => Some(sent + class.window),
+            Effect::Unsafe => Some(sent),
+        }
+    }
+
     fn harmless(&self, m: &Message, at: Time) -> bool {
-        let class = &self.set.classes[m.class];
-        m.maybe_ran.is_none_or(|(sent, _)| match class.effect {
-            Effect::Safe => true,
-            Effect::Keyed => at < sent + class.window,
-            Effect::Unsafe => false,
-        })
+        self.repeats_until(m).is_none_or(|until| at < until)
     }
 
     /// What a message earns if it is answered at `at`.
@@ -1004,6 +1004,7 @@
         let (joining, lane, class) = (self.joins(m, e, open), self.endpoints[e].lane, m.class);
         let timeout = self.timeout(m, &self.lanes[lane]);
         let (until, least) = (now + timeout, self.least(m, &self.lanes[lane]));
+        let write_within = self.repeats_until(m).map(|until| until - now);
         let call = if joining { open[&e] } else { fresh };
         if let Some(call) = self.calls.get_mut(&call) {
             (call.messages, call.waiting) = (call.messages + 1, call.waiting + 1);
@@ -1027,11 +1028,11 @@
             lane.lucky = false;
             lane.pace.calls = (lane.pace.calls - 1.0).max(-1.0);
         }
-        let endpoint = self.endpoints[e].id.clone();
         if let Some(m) = self.messages.get_mut(&number) {
             m.out = Some(Attempt { number: m.attempts, endpoint: e, call, sent: now });
             m.attempts += 1;
-            self.acts.push(Action::Send { id: m.id.clone(), endpoint, timeout, call });
+            let (id, endpoint) = (m.id.clone(), self.endpoints[e].id.clone());
+            self.acts.push(Action::Send { id, endpoint, timeout, call, write_within });
         }
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -341,3 +341,30 @@
         assert_eq!((finals(&acts), sends(&acts)), (vec!["fail m".to_owned()], vec![]));
     }
 }
+
+/// Guards the window against what comes after the decision: a connection that comes up late (narrow days of the other
+/// customer: up to 10 repeats a day). What may have run is told to be written inside its window; what has not run, or may
+/// run twice, at any time.
+#[test]
+fn a_repeat_is_to_be_written_inside_its_window() {
+    let mut set = settings();
+    set.classes[1].window = Duration::from_millis(2000);
+    let within = |set: &Settings, class: usize, status: Status| {
+        let mut b = Bench::new(set.clone(), vec![entry("a", 1, Condition::Ready, 0)]);
+        b.at(0, vec![accept("m", class, None, 9000)]);
+        let mut acts = b.at(700, vec![outcome("m", 0, status, 700)]);
+        for ms in (750..1950).step_by(50) {
+            acts.extend(b.at(ms, vec![Event::Wake]));
+        }
+        let times = acts.iter().filter_map(|a| match a {
+            Action::Send { write_within, .. } => Some(*write_within),
+            _ => None,
+        });
+        times.collect::<Vec<_>>()
+    };
+    let class = |effect: Effect| settings().classes.iter().position(|c| c.effect == effect).expect("there");
+    assert_eq!(within(&set, class(Effect::Safe), Status::Error), [None]);
+    assert_eq!(within(&set, class(Effect::Keyed), Status::Refused), [None]);
+    let left = within(&set, class(Effect::Keyed), Status::Error);
+    assert!(left.len() == 1 && left[0].is_some_and(|l| l <= Duration::from_millis(1300)), "{left:?}");
+}
