--- a/crates/recovery/src/owed.rs
+++ b/crates/recovery/src/owed.rs
@@ -10,8 +10,9 @@
 /// All are in hand after so long, whatever the decisions do with them: where a partner is asked for more than it takes, they
 /// prefer fresh ones, and what is owed would else wait here until its time is over.
 const ALL_WITHIN: Duration = Duration::from_secs(5);
-/// Before its deadline a notice is handed over whatever the pace: the decisions end it in time.
-const MARGIN: Duration = Duration::from_millis(500);
+/// Whatever the pace, a notice is handed over with this part of its time left: where deadlines are short, a fixed time before
+/// them would leave no time for a try, and neither would all of the time above.
+const LEFT_LEAST: u32 = 2;
 
 #[derive(Debug, Default)]
 struct Line {
@@ -54,7 +55,7 @@
         for line in self.lines.values_mut() {
             while let Some((deadline, _)) = line.waiting.first() {
                 let behind = (line.handed as f64) < line.all as f64 * passed;
-                if line.in_hand.len() >= IN_HAND && !behind && *deadline > now + MARGIN {
+                if line.in_hand.len() >= IN_HAND && !behind && now < latest(self.since, *deadline) {
                     break;
                 }
                 line.handed += 1;
@@ -69,9 +70,8 @@
 
     /// When one must be handed over at the latest.
     pub fn due(&self) -> Option<Time> {
-        let first =
-            self.lines.values().filter_map(|l| l.waiting.first()).map(|(deadline, _)| *deadline).min()?;
-        Some(Time(first.0.saturating_sub(MARGIN.as_nanos() as u64)))
+        let firsts = self.lines.values().filter_map(|l| l.waiting.first());
+        firsts.map(|(deadline, _)| latest(self.since, *deadline)).min()
     }
 
     /// Notices not handed over yet.
@@ -79,3 +79,8 @@
         self.lines.values().map(|l| l.waiting.len()).sum()
     }
 }
+
+/// When a notice with this deadline is handed over at the latest, by a sender that came back then.
+fn latest(since: Time, deadline: Time) -> Time {
+    since + ((deadline - since) / LEFT_LEAST).min(ALL_WITHIN)
+}
