--- /dev/null
+++ b/crates/core/tests/settings.rs
@@ -0,0 +1,136 @@
+//! Settings of any deployment: each value missing, of another kind, zero or absurd is an error with its place, or does no harm.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cranehill_core::*;
+use serde_json::{Value, json};
+use tansycroft::Time;
+use tansycroft::api::{Condition, DestId, EndpointId, Entry, Status};
+use tansycroft::profile::Profile;
+
+const SETTINGS: &str = include_str!("settings.json");
+const START: u64 = 1_000_000_000_000;
+
+/// The places of all values in the settings, as JSON pointers.
+fn places(value: &Value, at: &str, all: &mut Vec<String>) {
+    match value {
+        Value::Object(map) => map.iter().for_each(|(k, v)| places(v, &format!("{at}/{k}"), all)),
+        Value::Array(list) => list.iter().enumerate().for_each(|(i, v)| places(v, &format!("{at}/{i}"), all)),
+        _ => {}
+    }
+    all.push(at.to_owned());
+}
+
+fn notice(n: usize, class: usize, left_ms: u64) -> Notice {
+    Notice {
+        id: format!("m{n}"),
+        class,
+        station: n % 3,
+        partner: 7,
+        key: Some("k".into()),
+        body: Arc::from(&b"body"[..]),
+        left: Duration::from_millis(left_ms),
+        spent: 0,
+        envelope: None,
+        from: Origin::Client(n),
+    }
+}
+
+/// Plays a few seconds: notices of all classes, calls that end in each way, by turns. Nothing may panic, and each notice
+/// that was taken on has one end by its time and a second.
+fn play(settings: Value) -> Result<(), String> {
+    let profile: Profile = serde_json::from_value(settings).map_err(|e| e.to_string())?;
+    let set = profile.into_settings()?;
+    let classes = set.classes.len();
+    let mut core = Core::new(set, 1, Time(START)).map_err(|e| e.to_string())?;
+    let entry = |e: &str, zone, kind| Listing {
+        entry: Entry {
+            endpoint: EndpointId(e.into()),
+            dest: DestId(7),
+            condition: Condition::Ready,
+            zone,
+            kind,
+            rate: 0.0,
+        },
+        address: "127.0.0.1:1".into(),
+    };
+    core.step(Time(START), Input::Listed { whole: true, list: vec![entry("a", 0, 0), entry("b", 1, 9)] });
+    let ways = [Status::Served, Status::Error, Status::Refused, Status::TimedOut, Status::NoConnection];
+    let (mut out, mut owed, mut way) = (Vec::new(), std::collections::BTreeSet::new(), 0);
+    for ms in (0..12_000u64).step_by(50) {
+        let now = Time(START + ms * 1_000_000);
+        if ms < 4000 {
+            let n = (ms / 50) as usize;
+            core.step(now, Input::Handed(notice(n, n % classes, [0, 30, 900, 4000][n % 4])));
+        }
+        for attempt in std::mem::take(&mut out) {
+            let Attempt { id, number, .. }: Attempt = attempt;
+            let status = ways[way % ways.len()];
+            way += 1;
+            let over = status == Status::Served;
+            if over {
+                owed.remove(&id);
+            }
+            let told_wait = (status == Status::Refused).then_some(Duration::from_millis(120));
+            let took = Duration::from_millis(50);
+            let end = AttemptEnd { id, attempt: number, status, over, took, told_wait, report: None };
+            core.step(now, Input::Ended(vec![end]));
+        }
+        core.step(now, Input::Due);
+        let mut effects = core.step(now, Input::TurnOver);
+        if let Some(Effect::Keep(_)) = effects.last() {
+            effects = core.step(now, Input::Kept(Kept::All));
+        }
+        for effect in effects {
+            match effect {
+                Effect::Call { attempts, .. } => out.extend(attempts),
+                Effect::Answer { id, answer: Answer::TakenOn, .. } => drop(owed.insert(id)),
+                Effect::Report { id, .. } => assert!(owed.remove(&id), "{id} ends twice"),
+                _ => {}
+            }
+        }
+    }
+    assert!(owed.is_empty(), "still owed: {owed:?}");
+    Ok(())
+}
+
+#[test]
+fn settings_as_they_should_be_are_played() {
+    play(serde_json::from_str(SETTINGS).expect("settings")).expect("played");
+}
+
+/// Guards a start on another customer's settings: whatever one value is, there is an error or a sender that works.
+#[test]
+fn any_one_value_that_is_missing_or_absurd_is_an_error_or_does_no_harm() {
+    let good: Value = serde_json::from_str(SETTINGS).expect("settings");
+    let mut all = Vec::new();
+    places(&good, "", &mut all);
+    all.retain(|place| !place.is_empty());
+    assert!(all.len() > 60, "{}", all.len());
+    let odd = [json!(0), json!(1), json!(-1), json!(0.5), json!(u64::MAX), json!(1e300), json!(-1e300)];
+    let odd = [&odd[..], &[json!(null), json!(""), json!("odd"), json!([]), json!({}), json!(true)]].concat();
+    for place in all {
+        for value in &odd {
+            let mut settings = good.clone();
+            *settings.pointer_mut(&place).expect("there") = value.clone();
+            if let Err(why) = play(settings) {
+                assert!(!why.is_empty() && !why.contains('\n'), "{place} = {value}: {why}");
+            }
+        }
+        let (parent, key) = place.rsplit_once('/').expect("a place");
+        let mut settings = good.clone();
+        if let Some(Value::Object(map)) = settings.pointer_mut(parent) {
+            map.remove(key);
+            let _ = play(settings);
+        }
+    }
+}
+
+#[test]
+fn an_effect_that_is_not_known_is_told_with_its_place() {
+    let mut settings: Value = serde_json::from_str(SETTINGS).expect("settings");
+    *settings.pointer_mut("/classes/1/effect").expect("there") = json!("odd");
+    let why = play(settings).expect_err("not known");
+    assert_eq!(why, "settings.classes[1].effect: 'odd' is not safe, keyed or unsafe");
+}
--- a/crates/cranehill/tests/restart.rs
+++ b/crates/cranehill/tests/restart.rs
@@ -327,3 +327,33 @@
     process.signal("-CONT");
     soon("its end is reported", || reports(&platform).iter().any(|r| r.contains(r#""id":"m1""#)));
 }
+
+/// Guards an end that is asked for more than once, with a reload between, while the endpoint hangs and the platform takes no
+/// reports: the process ends by itself, and the next life has all that is owed, the report too.
+#[test]
+fn a_second_sigterm_and_a_sighup_while_all_hangs_change_nothing() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let folder = folder.path();
+    let (partner, open) = partner();
+    let rejects = StandIn::new(|_, _| Reply::status(400)).expect("partner");
+    let silent = StandIn::new(|_, _| Reply::Silent).expect("platform");
+    let known = list(1, &[("a", partner.address, 7, "station"), ("r", rejects.address, 8, "station")]);
+    let mut first = spawn(folder, &known, &silent);
+    let mut client = Client::new(first.clients);
+    assert_eq!(client.put("m1", NAMES, b"one"), "+OK");
+    assert_eq!(client.put("m2", &NAMES.replace("dest=7", "dest=8"), b"two"), "+OK");
+    soon("a report is out", || !reports(&silent).is_empty());
+    for signal in ["-TERM", "-HUP", "-TERM"] {
+        first.signal(signal);
+    }
+    assert!(first.child.wait().expect("it ends").success());
+    let log = first.log.take().expect("a log").join().expect("read");
+    let stopped = log.iter().find(|l| l.contains("stopped:")).expect("its last line");
+    assert!(stopped.contains(" 1 notices and 1 reports"), "{stopped}");
+    open.store(true, Ordering::Relaxed);
+    let before = partner.seen().len();
+    let platform = platform();
+    let _second = spawn(folder, &known, &platform);
+    assert!(partner.wait_for(before + 1, SOON), "the notice");
+    soon("the report", || reports(&platform).iter().any(|r| r.contains(r#""id":"m2","state":"failed""#)));
+}
--- a/src/profile.rs
+++ b/src/profile.rs
@@ -142,7 +142,10 @@
             let n = self.n_instances;
             return Err(format!("settings.nInstances: {n} senders; it must be 1 to {SENDERS_MOST}"));
         }
-        let classes = self.classes.into_iter().map(WireClass::into_class).collect::<Result<Vec<_>, _>>()?;
+        let classes = self.classes.into_iter().enumerate().map(|(place, class)| {
+            class.into_class().map_err(|why| format!("settings.classes[{place}].{why}"))
+        });
+        let classes = classes.collect::<Result<Vec<_>, _>>()?;
         let family = self.family_info;
         let count = family.per_call.len().max(family.kind_apart.len());
         let kinds = (0..count)
@@ -193,11 +196,12 @@
                 "safe" => Effect::Safe,
                 "keyed" => Effect::Keyed,
                 "unsafe" => Effect::Unsafe,
-                e => return Err(format!("unknown effect {e}")),
+                e => return Err(format!("effect: '{e}' is not safe, keyed or unsafe")),
             },
             dedup: match self.dedup_scope.as_str() {
                 "all" | "" => DedupScope::All,
                 "zone" => DedupScope::Zone,
+                // A scope that is not known is taken for the narrowest, which breaks no other.
                 _ => DedupScope::Endpoint,
             },
             window: ns(self.window),
