--- a/crates/daemon/src/closing.rs
+++ b/crates/daemon/src/closing.rs
@@ -7,9 +7,11 @@
 use crate::http;
 use cranehill_core::Closing;
 
-/// Pause before a report is sent again, and how long its answer may take.
+/// Pause before a report is sent again, and how long its answer, which the platform gives at once, may take. Together within
+/// the 300 ms after a notice's time in which its end must be told, so that one lost report does not lose the notice; a
+/// report that comes twice does no harm.
 pub const AGAIN: Duration = Duration::from_millis(100);
-pub const OVERDUE: Duration = Duration::from_millis(1000);
+pub const OVERDUE: Duration = Duration::from_millis(150);
 const LINES_MOST: usize = 200;
 
 #[derive(Debug, Default)]
--- a/crates/daemon/src/reactor/door.rs
+++ b/crates/daemon/src/reactor/door.rs
@@ -47,9 +47,14 @@
     waits && link.written_out()
 }
 
-/// Whether a client must still hear from us, or we from it, before the process may end.
+/// Whether a client must still hear from us, or we from it, before the process may end. Who waits for a push's end is told
+/// at the end.
 pub(super) fn open(link: &Link) -> bool {
-    of_client(link) && (!free(link) || matches!(link.role, Role::Ending { .. }))
+    match &link.role {
+        Role::Ending { .. } => true,
+        Role::Pusher { busy: Some(_), .. } => false,
+        _ => of_client(link) && !free(link),
+    }
 }
 
 /// Whether a client has sent nothing yet beyond what was dealt with: what is unread must not go with its connection.
--- /dev/null
+++ b/crates/daemon/tests/closing.rs
@@ -0,0 +1,34 @@
+//! Closing reports: what is out, lost and sent again.
+
+use std::time::Duration;
+
+use cranehill_core::Closing;
+use cranehill_daemon::closing::{AGAIN, OVERDUE, Reports};
+
+fn ids(bytes: &[u8]) -> Vec<String> {
+    let text = String::from_utf8_lossy(bytes);
+    let body = text.split_once("\r\n\r\n").expect("a body").1;
+    let line = |l: &str| serde_json::from_str::<serde_json::Value>(l).expect("JSON")["id"].to_string();
+    body.lines().map(line).collect()
+}
+
+/// Guards reports whose answer never comes: sent again in their order before newer ones, and early enough that the second
+/// try is inside the 300 ms after a notice's time in which its end must be told. It took 1.1 s.
+#[test]
+fn a_lost_report_goes_again_first_and_inside_the_time_for_it() {
+    assert!(OVERDUE + AGAIN < Duration::from_millis(300));
+    let mut reports = Reports::default();
+    reports.add("a".into(), Closing::Failed);
+    reports.add("b".into(), Closing::Returned { after_ms: 500 });
+    let first = reports.next("h").expect("two reports");
+    assert_eq!(ids(&first), [r#""a""#, r#""b""#]);
+    reports.add("c".into(), Closing::Failed);
+    assert!(reports.next("h").is_none(), "one call at a time");
+    reports.lost();
+    assert_eq!(ids(&reports.next("h").expect("again")), [r#""a""#, r#""b""#, r#""c""#]);
+    assert!(reports.answered(500).is_empty());
+    assert!(!reports.idle() && reports.ready());
+    reports.next("h").expect("again");
+    assert_eq!(reports.answered(204), ["a", "b", "c"]);
+    assert!(reports.idle());
+}
