Which tests of endings were seen to fail, and one that did not: a stalled answer is told from a time-out now

Mutations of the guarding lines behind older tests: told_wait, spoilt (bytes behind an answer), reload, reports, reader of nothing, crowd, a notice after a kill failed as they should. spoilt's stalled answers did not: a call's own time-out came as soon. Its deployment waits 5 s for a call now, and the test fails with the stall taken out.

--- a/crates/cranehill/tests/spoilt.rs
+++ b/crates/cranehill/tests/spoilt.rs
@@ -18,7 +18,10 @@
     })
     .expect("partner");
     let platform = platform();
-    let sender = start(&list(1, &[("a", partner.address, 7, "station")]), &platform);
+    // A call is waited for for a quarter of the aim at least: 5 s, so that what ends sooner did not end by that.
+    let known = list(1, &[("a", partner.address, 7, "station")]);
+    let sender =
+        start_as(&known, &platform, |setup| setup.site.settings.classes[0].aim = Duration::from_secs(20));
     let mut client = Client::new(sender.clients);
     for n in 0..notices {
         assert_eq!(client.put(&format!("m{n}"), NAMES, b"x"), "+OK");
