Socket tests share one changing directory and one pair of notices found at once

The stand-in directory whose list changes on a word, and two notices that share a call, stood twice each.

--- a/crates/cranehill/tests/common/mod.rs
+++ b/crates/cranehill/tests/common/mod.rs
@@ -3,6 +3,8 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use cranehill::rehearsal::{Reply, StandIn};
@@ -217,3 +219,25 @@
         std::thread::sleep(Duration::from_millis(5));
     }
 }
+
+/// Waits until it is set.
+pub fn wait_for(flag: &AtomicBool) {
+    while !flag.load(Ordering::Relaxed) {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A platform whose list changes to this one when it is told so.
+pub fn changing(to: String) -> (StandIn, Arc<AtomicBool>) {
+    let told = Arc::new(AtomicBool::new(false));
+    let tell = told.clone();
+    let platform = StandIn::new(move |request, _| match request.path.as_str() {
+        "/v1/notices" => Reply::status(204),
+        path if path.contains("from=1&") => {
+            wait_for(&told);
+            Reply::Bytes(cranehill_daemon::http::write_response(200, "OK", &[], &to))
+        }
+        _ => Reply::Silent,
+    });
+    (platform.expect("platform"), tell)
+}
--- a/crates/cranehill/tests/endings.rs
+++ b/crates/cranehill/tests/endings.rs
@@ -5,9 +5,7 @@
 
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::sync::atomic::Ordering;
 
 use common::*;
 use cranehill::rehearsal::{Reply, StandIn};
@@ -25,6 +23,18 @@
     serde_json::Value::from(items.iter().map(one).collect::<Vec<_>>()).to_string()
 }
 
+/// A sender that finds m1 and m2, of a client each, at once: they share a call where the partner takes several.
+fn two_at_once(known: &str, platform: &StandIn) -> (Running, [Client; 2]) {
+    let prepared = prepare(known, platform, |_| {});
+    let mut clients = [Client::new(prepared.clients), Client::new(prepared.clients)];
+    for (n, client) in clients.iter_mut().enumerate() {
+        client.send(&put(&format!("m{}", n + 1), NAMES, b"x"));
+    }
+    let sender = prepared.run();
+    assert!(clients.iter_mut().all(|c| c.line() == "+OK"));
+    (sender, clients)
+}
+
 /// Guards a batch whose answer breaks off: its first line says 200, and for several notices only the whole answer says what
 /// became of each. Both notices are there before the sender runs, so that they share a call.
 #[test]
@@ -44,13 +54,7 @@
         .expect("partner");
         let platform = platform();
         let known = list(1, &[("a", partner.address, 7, "bulk-directory")]);
-        let prepared = prepare(&known, &platform, |_| {});
-        let mut clients = [Client::new(prepared.clients), Client::new(prepared.clients)];
-        for (n, client) in clients.iter_mut().enumerate() {
-            client.send(&put(&format!("m{}", n + 1), NAMES, b"x"));
-        }
-        let _sender = prepared.run();
-        assert!(clients.iter_mut().all(|c| c.line() == "+OK"));
+        let _running = two_at_once(&known, &platform);
         let both = |bodies: &[String]| ["m1", "m2"].iter().all(|id| bodies.iter().any(|b| b.contains(id)));
         assert!(partner.wait_for(1, SOON));
         assert!(both(&seen_bodies(&partner)[..1]), "they share a call: {:?}", seen_bodies(&partner));
@@ -82,13 +86,7 @@
     .expect("partner");
     let platform = platform();
     let known = list(1, &[("a", partner.address, 7, "bulk-directory")]);
-    let prepared = prepare(&known, &platform, |_| {});
-    let mut clients = [Client::new(prepared.clients), Client::new(prepared.clients)];
-    for (n, client) in clients.iter_mut().enumerate() {
-        client.send(&put(&format!("m{}", n + 1), NAMES, b"x"));
-    }
-    let _sender = prepared.run();
-    assert!(clients.iter_mut().all(|c| c.line() == "+OK"));
+    let (_sender, mut clients) = two_at_once(&known, &platform);
     assert!(partner.wait_for(2, SOON));
     let again = &partner.seen()[1].request;
     assert!(again.headers.iter().any(|h| h.1 == b"m2"), "{again:?}");
@@ -124,20 +122,7 @@
 #[test]
 fn a_new_id_at_an_old_address_gets_a_connection_of_its_own() {
     let partner = StandIn::new(|_, _| Reply::status(200)).expect("partner");
-    let change = Arc::new(AtomicBool::new(false));
-    let changed = change.clone();
-    let next = list(2, &[("b", partner.address, 7, "station")]);
-    let platform = StandIn::new(move |request, _| match request.path.as_str() {
-        "/v1/notices" => Reply::status(204),
-        path if path.contains("from=1&") => {
-            while !changed.load(Ordering::Relaxed) {
-                std::thread::sleep(Duration::from_millis(5));
-            }
-            Reply::Bytes(cranehill_daemon::http::write_response(200, "OK", &[], &next))
-        }
-        _ => Reply::Silent,
-    })
-    .expect("platform");
+    let (platform, change) = changing(list(2, &[("b", partner.address, 7, "station")]));
     let sender = start(&list(1, &[("a", partner.address, 7, "station")]), &platform);
     let mut client = Client::new(sender.clients);
     for id in ["m1", "m2"] {
--- a/crates/cranehill/tests/late_connections.rs
+++ b/crates/cranehill/tests/late_connections.rs
@@ -37,27 +37,6 @@
     }
 }
 
-fn wait_for(flag: &AtomicBool) {
-    while !flag.load(Ordering::Relaxed) {
-        std::thread::sleep(Duration::from_millis(5));
-    }
-}
-
-/// A platform whose list changes to this one when it is told so.
-fn changing(to: String) -> (StandIn, Arc<AtomicBool>) {
-    let told = Arc::new(AtomicBool::new(false));
-    let tell = told.clone();
-    let platform = StandIn::new(move |request, _| match request.path.as_str() {
-        "/v1/notices" => Reply::status(204),
-        path if path.contains("from=1&") => {
-            wait_for(&told);
-            Reply::Bytes(cranehill_daemon::http::write_response(200, "OK", &[], &to))
-        }
-        _ => Reply::Silent,
-    });
-    (platform.expect("platform"), tell)
-}
-
 /// Guards the window for repeats: the decision to repeat was in time, the connection came up when it no longer was, and the
 /// repeat went out all the same (narrow days of the other customer: "sent again outside its group or window").
 #[test]
--- a/crates/cranehill/tests/told_wait.rs
+++ b/crates/cranehill/tests/told_wait.rs
@@ -15,9 +15,7 @@
     let told = Arc::new(AtomicBool::new(false));
     let tell = told.clone();
     let first = StandIn::new(move |_, _| {
-        while !tell.load(Ordering::Relaxed) {
-            std::thread::sleep(Duration::from_millis(5));
-        }
+        wait_for(&tell);
         Reply::wait(429, "60")
     })
     .expect("partner");
@@ -30,20 +28,7 @@
         ("c", third.address, 99, "station"),
     );
     // The second endpoint is listed once the first is busy: else either might be taken first.
-    let added = Arc::new(AtomicBool::new(false));
-    let add = added.clone();
-    let whole = list(2, &[a, b, c]);
-    let platform = StandIn::new(move |request, _| match request.path.as_str() {
-        "/v1/notices" => Reply::status(204),
-        path if path.contains("from=1&") => {
-            while !add.load(Ordering::Relaxed) {
-                std::thread::sleep(Duration::from_millis(5));
-            }
-            Reply::Bytes(cranehill_daemon::http::write_response(200, "OK", &[], &whole))
-        }
-        _ => Reply::Silent,
-    })
-    .expect("platform");
+    let (platform, added) = changing(list(2, &[a, b, c]));
     let sender = start(&list(1, &[a, c]), &platform);
     let mut client = Client::new(sender.clients);
     let names = "c=episode-notice,d=20000,k=aa,dest=7";
