--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -4,6 +4,7 @@
 
 mod agent;
 mod case1;
+mod case2;
 mod client;
 mod endpoint;
 mod http;
@@ -36,6 +37,7 @@
     let (root, playing) = (root.to_owned(), record.clone());
     let play = match number.as_str() {
         "1" => case1::play,
+        "2" => case2::play,
         _ => {
             eprintln!("no case {number}");
             return ExitCode::from(2);
