Review: at a planned restart, requests that were read get no answer

The sender ends 2.6 s after SIGTERM while whole requests of a client that sends many at once wait in its input buffer.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -5,6 +5,7 @@
 mod agent;
 mod case1;
 mod case2;
+mod case3;
 mod client;
 mod endpoint;
 mod http;
@@ -38,6 +39,7 @@
     let play = match number.as_str() {
         "1" => case1::play,
         "2" => case2::play,
+        "3" => case3::play,
         _ => {
             eprintln!("no case {number}");
             return ExitCode::from(2);
