Shutdown answers the pipelined requests that were read before it closes their connection

Cause: a connection handles one message at a time; further requests stay in its input until the answer is written at the end of a tick. In the moment after an answer nothing is in progress, is_idle_client did not look at the input, and is_finished, which is asked in that moment, ended the process at 2.6 s after SIGTERM; at 3.4 s it ended without asking.

Evidence: the new log line clients-unanswered, built into the old behaviour with the process stopped over each instant, reports one connection with requests that were read and not answered. Ruled out by it: requests unread in the kernel, a connection that timed out or was reset (the client saw an orderly end).

Change: a connection whose input begins with a complete request is not idle. From the time when sending stops, or when nothing else is left, each client connection is read, answered (messages with -BUSY) and closed in order. At the end of the time the messages of the running tick are answered first. Same cause, mended with it: the eviction of idle clients, and pipelined Web Push requests at the end. Read and not affected: the hand-over, which passes the input on.

--- a/crates/cranehill/tests/clients.rs
+++ b/crates/cranehill/tests/clients.rs
@@ -237,3 +237,26 @@
         thread::sleep(std::time::Duration::from_millis(20));
     }
 }
+
+/// Guards pipelined requests whose connection is idle only between two of them: it was once closed to make room for another client.
+#[test]
+fn client_with_buffered_requests_is_not_evicted() {
+    const REQUESTS: usize = 200;
+    // Fewer than the accept queue holds.
+    const SILENT_CLIENTS: usize = 100;
+    let platform = platform();
+    let prepared = prepare(&list(1, &[]), &platform, |options| {
+        options.max_descriptors = SILENT_CLIENTS;
+    });
+    // All connections and requests are there before the sender runs, so that it needs room while it serves the first client.
+    let mut client = Client::new(prepared.clients);
+    client.send(&b"*1\r\n$4\r\nPING\r\n".repeat(REQUESTS));
+    let _silent: Vec<Client> = (0..SILENT_CLIENTS)
+        .map(|_| Client::new(prepared.clients))
+        .collect();
+    let _sender = prepared.run();
+    let answered = (0..REQUESTS)
+        .take_while(|_| client.line() == "+PONG")
+        .count();
+    assert_eq!(answered, REQUESTS);
+}
--- a/crates/cranehill/tests/common/process.rs
+++ b/crates/cranehill/tests/common/process.rs
@@ -71,6 +71,15 @@
         let _ = self.child.wait();
     }
 
+    /// Sends a signal, such as `-TERM`.
+    pub(crate) fn signal(&self, name: &str) {
+        let status = Command::new("kill")
+            .args([name, &self.child.id().to_string()])
+            .status()
+            .expect("kill command started");
+        assert!(status.success(), "signal {name} not sent");
+    }
+
     /// The log lines so far.
     pub(crate) fn log(&self) -> Vec<String> {
         self.log.lock().expect("log lock").clone()
--- a/crates/cranehill/tests/restart.rs
+++ b/crates/cranehill/tests/restart.rs
@@ -359,11 +359,19 @@
         log: None,
     };
     let mut client = Client::new(address);
-    client.send(b"POST /push/a HTTP/1.1\r\nTTL: 20\r\nTopic: t\r\nContent-Length: 1\r\n\r\nx");
+    // The second request is read, but not processed before the first one ends.
+    let request = "POST /push/a HTTP/1.1\r\nTTL: 20\r\nTopic: t\r\nContent-Length: 1\r\n\r\nx";
+    client.send(request.repeat(2).as_bytes());
     assert!(service.wait_for(1, TIMEOUT));
     process.signal("-TERM");
     assert_eq!(client.line(), "HTTP/1.1 503 Service Unavailable");
     assert_eq!(client.line(), "Retry-After: 5");
+    // The next response begins behind the body of the first, which ends without CR LF.
+    let second = std::iter::repeat_with(|| client.line())
+        .take_while(|line| !line.ends_with('>'))
+        .filter(|line| line.ends_with("HTTP/1.1 503 Service Unavailable"))
+        .count();
+    assert_eq!(second, 1, "the pipelined request is answered as well");
     assert!(process.child.wait().expect("process ends").success());
 }
 
--- a/crates/daemon/src/client_ingress.rs
+++ b/crates/daemon/src/client_ingress.rs
@@ -3,6 +3,9 @@
 mod resp;
 mod web_push;
 
+pub(crate) use self::resp::reject_buffered;
+pub(crate) use self::web_push::take_unanswered_pushes;
+
 use std::net::Shutdown;
 use std::time::Duration;
 
--- a/crates/daemon/src/client_ingress/resp.rs
+++ b/crates/daemon/src/client_ingress/resp.rs
@@ -3,12 +3,71 @@
 use std::time::Duration;
 
 use cranehill_core::Answer;
+use cranehill_scheduler::Time;
 
 use super::{Admission, ClientIngress, Progress, refill, reject_malformed, reject_request};
 use crate::client_protocol::{self, MAX_REQUEST_BYTES, MessageError, Request};
-use crate::connection::ConnectionKind;
+use crate::connection::{Connection, ConnectionKind};
 use crate::connection_table::ConnectionTable;
 
+/// How often [`reject_buffered`] reads again, each time up to [`MAX_REQUEST_BYTES`]. It limits the time spent on a client that never
+/// pauses.
+const MAX_REJECTION_ROUNDS: usize = 16;
+/// The answer to `PING` when the process is about to end.
+const SHUTTING_DOWN: &str = "shutting down";
+
+/// Reads what has arrived on a connection, and answers every complete request: messages with a rejection, since they would not be
+/// sent any more. Returns whether the connection can be closed now; otherwise an earlier request or answer is still in progress.
+pub(crate) fn reject_buffered(connections: &mut ConnectionTable, id: usize, now: Time) -> bool {
+    for _ in 0..MAX_REJECTION_ROUNDS {
+        let Some(connection) = connections.get_mut(id) else {
+            return false;
+        };
+        if !matches!(connection.kind, ConnectionKind::Client { busy: false })
+            || !connection.is_written()
+        {
+            return false;
+        }
+        connection.fill();
+        let answers = take_rejections(connection);
+        if answers.is_empty() {
+            return true;
+        }
+        connections.send(id, &answers, now);
+    }
+    true
+}
+
+/// Removes all complete requests from a connection's input, and returns the answers that reject them.
+fn take_rejections(connection: &mut Connection) -> Vec<u8> {
+    let rejection = Answer::Rejected { retry_after: None };
+    let mut answers = Vec::new();
+    while !connection.close_after_write {
+        let answer = match client_protocol::parse(&connection.input) {
+            Ok(Some((request, length))) => {
+                connection.consume(length);
+                match request {
+                    Request::Put { .. } => client_protocol::write_answer(rejection),
+                    Request::Ping => client_protocol::write_error(SHUTTING_DOWN),
+                    Request::Quit => {
+                        connection.close_after_write = true;
+                        b"+OK\r\n".to_vec()
+                    }
+                    Request::Unknown(why) => client_protocol::write_error(why),
+                }
+            }
+            Ok(None) => break,
+            Err(client_protocol::ProtocolError(why)) => {
+                connection.close_after_write = true;
+                connection.input.clear();
+                client_protocol::write_error(why)
+            }
+        };
+        answers.extend_from_slice(&answer);
+    }
+    answers
+}
+
 impl ClientIngress {
     /// Processes the next request in the connection's input.
     pub(crate) fn serve_client(
--- a/crates/daemon/src/client_ingress/web_push.rs
+++ b/crates/daemon/src/client_ingress/web_push.rs
@@ -71,6 +71,23 @@
     }
 }
 
+/// Removes the complete requests from a connection's input and ends the one in progress; returns how many answers the client still
+/// waits for.
+pub(crate) fn take_unanswered_pushes(connections: &mut ConnectionTable, id: usize) -> usize {
+    let Some(connection) = connections.get_mut(id) else {
+        return 0;
+    };
+    let ConnectionKind::WebPushClient { pending, .. } = &mut connection.kind else {
+        return 0;
+    };
+    let mut unanswered = usize::from(pending.take().is_some());
+    while let Ok(Some((_, length))) = http::request(&connection.input) {
+        connection.consume(length);
+        unanswered += 1;
+    }
+    unanswered
+}
+
 /// Converts a request to a message for the caller to submit, or answers it with an error.
 fn submit(
     connections: &mut ConnectionTable,
--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -272,7 +272,35 @@
                 | ConnectionKind::WebPushClient { pending: None, .. }
                 | ConnectionKind::Closing { .. }
         );
-        waits && self.is_written()
+        waits && self.is_written() && !self.has_buffered_request()
+    }
+
+    /// Whether a request of a client has been received completely and is not answered.
+    pub(crate) fn has_unanswered_request(&self) -> bool {
+        let in_progress = matches!(
+            self.kind,
+            ConnectionKind::Client { busy: true }
+                | ConnectionKind::WebPushClient {
+                    pending: Some(_),
+                    ..
+                }
+        );
+        in_progress || self.has_buffered_request()
+    }
+
+    /// Whether the input of a client's connection begins with a complete request, or with bytes that are answered with an error.
+    /// Pipelined requests wait there for the answers to earlier ones.
+    fn has_buffered_request(&self) -> bool {
+        if self.close_after_write {
+            return false;
+        }
+        match self.kind {
+            ConnectionKind::Client { .. } => {
+                !matches!(client_protocol::parse(&self.input), Ok(None))
+            }
+            ConnectionKind::WebPushClient { .. } => !matches!(http::request(&self.input), Ok(None)),
+            _ => false,
+        }
     }
 
     /// Whether shutdown must wait for this client's connection. A client that waits for the result of a push does not delay it:
--- a/crates/daemon/src/reactor.rs
+++ b/crates/daemon/src/reactor.rs
@@ -149,6 +149,7 @@
                 return Ok(());
             }
             if self.run_once(&mut events)? {
+                self.log_unanswered_clients();
                 let (pending, reports) = self.core.pending_and_report_counts();
                 let violations = self.core.violations;
                 log::info!(
--- a/crates/daemon/src/reactor/clients.rs
+++ b/crates/daemon/src/reactor/clients.rs
@@ -133,6 +133,15 @@
         }
     }
 
+    /// Answers every request that has arrived on a client's connection, rejecting the messages, and closes the connection. One with an
+    /// earlier request in progress is left as it is: its answer comes with the next tick.
+    pub(super) fn reject_and_close(&mut self, id: usize) {
+        let now = self.clock.now();
+        if client_ingress::reject_buffered(&mut self.connections, id, now) {
+            self.close_client(id);
+        }
+    }
+
     /// Closes a client's connection unless a request is in progress on it.
     pub(super) fn close_between_requests(&mut self, id: usize) {
         self.process_connection(id);
--- a/crates/daemon/src/reactor/shutdown.rs
+++ b/crates/daemon/src/reactor/shutdown.rs
@@ -5,6 +5,7 @@
 use cranehill_core::{Answer, Input};
 
 use super::Reactor;
+use crate::client_ingress;
 use crate::connection::{Connection, ConnectionKind};
 use crate::shutdown::ShutdownPhase;
 use crate::tokens::{CLIENTS, WEB_PUSH};
@@ -26,7 +27,14 @@
         if self.shutdown.stop_sending(phase) {
             self.step(Input::Stopping);
         }
-        if !self.is_finished() && phase < ShutdownPhase::Ended {
+        let time_is_up = phase >= ShutdownPhase::Ended;
+        if time_is_up {
+            self.answer_submitted();
+        }
+        if phase >= ShutdownPhase::NotSending || self.is_finished() {
+            self.close_remaining_clients();
+        }
+        if !time_is_up && !self.is_finished() {
             return false;
         }
         self.reject_waiting_clients();
@@ -44,6 +52,18 @@
         }
     }
 
+    /// Closes the connections on which clients go on sending requests. Each request that has arrived is answered first.
+    fn close_remaining_clients(&mut self) {
+        for id in self.connections.ids(Connection::is_client) {
+            self.reject_and_close(id);
+        }
+    }
+
+    /// Answers the messages that were submitted since the last tick.
+    fn answer_submitted(&mut self) {
+        self.step_without_tick(Input::TickEnded);
+    }
+
     /// Whether no work is left that can still be done before the end of the process.
     fn is_finished(&self) -> bool {
         let (pending, reports) = self.core.pending_and_report_counts();
@@ -53,25 +73,32 @@
         nothing_pending && reports == 0 && !connections.any(Connection::delays_shutdown)
     }
 
-    /// Answers Web Push clients that still wait for a message's result with an error and a `Retry-After`. Their messages have not been
-    /// accepted.
+    /// Answers Web Push clients that still wait for a message's result, or whose next request was not processed, with an error and a
+    /// `Retry-After`. Their messages have not been accepted.
     pub(super) fn reject_waiting_clients(&mut self) {
-        let waits = |connection: &Connection| {
-            matches!(
-                connection.kind,
-                ConnectionKind::WebPushClient {
-                    pending: Some(_),
-                    ..
-                }
-            )
+        let is_web_push = |connection: &Connection| {
+            matches!(connection.kind, ConnectionKind::WebPushClient { .. })
         };
         let answer = Answer::Rejected {
             retry_after: Some(RETRY_AFTER_SHUTDOWN),
         };
         let response = webpush::write_answer(answer, "");
         let now = self.clock.now();
-        for id in self.connections.ids(waits) {
-            self.connections.send(id, &response, now);
+        for id in self.connections.ids(is_web_push) {
+            let unanswered = client_ingress::take_unanswered_pushes(&mut self.connections, id);
+            for _ in 0..unanswered {
+                self.connections.send(id, &response, now);
+            }
+        }
+    }
+
+    /// Logs clients whose requests this process has read and does not answer before it ends.
+    pub(super) fn log_unanswered_clients(&self) {
+        let connections = self.connections.values();
+        let clients = connections.filter(|c| c.has_unanswered_request()).count();
+        if clients > 0 {
+            log::warn!(event = "clients-unanswered", clients;
+                "stopped: {clients} client connections end with requests that were read and not answered");
         }
     }
 }
