A connection rests after an answer, so that a second copy of it does not answer the next call

What callers saw (two records of the operators): messages lost, called twice at once, and by our own reproduction also called before a told wait was over, where endpoints send an answer twice, the second time some milliseconds later.

Cause: an HTTP/1.1 answer belongs to a call by its place on the connection alone, and a connection got its next call in the tick that followed its answer. What came then was taken for the answer to that call. The real answer was dropped later, without a line in the log.

Evidence: one id by the trace log: m1 answered 200; m2 written on the same connection 5.4 ms later; the copy 0.1 ms after that; "message m2: attempt 0 finished: Served"; 80 ms later the real 503 on the idle connection, which was closed; no retry, no report.

Change: a connection rests for 50 ms after an answer, the slack of the protocol's time limits; a call in that time takes another one. Bytes on a resting connection end it, as on any idle one, and are logged (unexpected-response). Same cause on a related path: a batch's answer that can't be its own (no list of outcomes, or other messages) ends its connection.

Changed tests: spoilt::status_200_delivers_even_with_a_malformed_body and webpush::push_is_forwarded_unchanged_over_a_reused_connection sent the next message within milliseconds and asserted the same connection. They now pause first; the assertions are the same. What they no longer see, reuse without a pause, is what the fix forbids and what upstream::tests asserts.

Remains: a copy later than 50 ms that meets the next call can't be told from its answer.

--- a/crates/core/src/mutation.rs
+++ b/crates/core/src/mutation.rs
@@ -32,6 +32,8 @@
     HoldsAnswers,
     /// A connection is reused even if bytes that belong to no answer were received after an answer.
     ReusesSpoilt,
+    /// A connection is reused as soon as it has had a response, when a second copy of that response may still arrive.
+    ReusesAtOnce,
     /// Possibly executed messages are sent again even if their class is not safe to repeat.
     RepeatsUnsafe,
     /// Messages get more attempts than the settings allow.
@@ -48,7 +50,7 @@
 
 impl Mutation {
     /// All mutations with their names on the command line.
-    pub const ALL: [(&'static str, Mutation); 15] = [
+    pub const ALL: [(&'static str, Mutation); 16] = [
         ("ignores-waits", Mutation::IgnoresWaits),
         ("sends-to-drained", Mutation::SendsToDrained),
         ("two-copies", Mutation::TwoCopies),
@@ -58,6 +60,7 @@
         ("floods-cold", Mutation::FloodsCold),
         ("holds-answers", Mutation::HoldsAnswers),
         ("reuses-spoilt", Mutation::ReusesSpoilt),
+        ("reuses-at-once", Mutation::ReusesAtOnce),
         ("repeats-unsafe", Mutation::RepeatsUnsafe),
         ("seventh-attempt", Mutation::SeventhAttempt),
         ("leaks-at-stop", Mutation::LeaksAtStop),
--- a/crates/cranehill/tests/spoilt.rs
+++ b/crates/cranehill/tests/spoilt.rs
@@ -2,10 +2,13 @@
 
 mod common;
 
+use std::io::{ErrorKind, Read, Write};
+use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-use common::{Client, TIMEOUT, list, platform, start, start_with};
+use common::{Client, TIMEOUT, list, platform, prepare, put, start, start_with, wait_until};
 use cranehill::simulated_server::{Reply, SimulatedServer};
+use cranehill_daemon::http;
 
 /// Metadata argument of `MSG.PUT`: class, remaining time in milliseconds, idempotency key and destination.
 const METADATA: &str = "c=episode-notice,d=20000,k=aa,dest=7";
@@ -32,6 +35,8 @@
     for n in 0..messages {
         assert_eq!(client.put(&format!("m{n}"), METADATA, b"x"), "+OK");
         assert!(destination.wait_for((n + 1).min(requests), TIMEOUT));
+        // A connection is not used again directly after a response.
+        std::thread::sleep(Duration::from_millis(400));
     }
     assert!(
         destination.wait_for(requests, TIMEOUT),
@@ -114,3 +119,115 @@
     let connections: Vec<usize> = destination.seen().iter().map(|s| s.connection).collect();
     assert_eq!(connections, [0, 0, 1, 2]);
 }
+
+/// A destination on one thread of the test, which decides the order of everything that it sends.
+struct Destination {
+    listener: TcpListener,
+    connections: Vec<TcpStream>,
+}
+
+impl Destination {
+    fn new() -> Destination {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("listener bound");
+        listener.set_nonblocking(true).expect("socket option set");
+        Destination {
+            listener,
+            connections: Vec::new(),
+        }
+    }
+
+    /// Waits for the next call, `what`, and returns the number of its connection. The call is small and arrives in one piece.
+    fn next_call(&mut self, what: &str) -> usize {
+        let mut calling = None;
+        wait_until(what, || {
+            if let Ok((connection, _)) = self.listener.accept() {
+                connection.set_nonblocking(true).expect("socket option set");
+                self.connections.push(connection);
+            }
+            calling = self.connections.iter_mut().position(has_call);
+            calling.is_some()
+        });
+        calling.expect("a call")
+    }
+
+    fn respond(&mut self, connection: usize, status: u16) {
+        let response = http::write_response(status, "Reason", &[], "");
+        // The sender may have closed the connection.
+        let _ = self.connections[connection].write_all(&response);
+    }
+}
+
+fn has_call(connection: &mut TcpStream) -> bool {
+    let mut buffer = [0; 4096];
+    match connection.read(&mut buffer) {
+        Ok(length) => matches!(http::request(&buffer[..length]), Ok(Some(_))),
+        Err(e) => {
+            assert_eq!(e.kind(), ErrorKind::WouldBlock);
+            false
+        }
+    }
+}
+
+/// Plays two calls, with a second copy of the first response while the second call is under way. The second call is rejected, and
+/// must be retried. Returns false if the second call was so late that the connection of the first one could be used again: that
+/// proves nothing.
+fn second_call_is_retried_despite_copy() -> bool {
+    /// A connection may be used again after this time.
+    const REST: Duration = Duration::from_millis(50);
+    let mut destination = Destination::new();
+    let address = destination.listener.local_addr().expect("an address");
+    let platform = platform();
+    let sender = start(&list(1, &[("a", address, 7, "station")]), &platform);
+    let mut client = Client::new(sender.clients);
+    assert_eq!(client.put("m1", METADATA, b"x"), "+OK");
+    let first = destination.next_call("the first call");
+    let answered = Instant::now();
+    destination.respond(first, 200);
+    assert_eq!(client.put("m2", METADATA, b"x"), "+OK");
+    let second = destination.next_call("the second call");
+    if second == first && answered.elapsed() >= REST {
+        return false;
+    }
+    destination.respond(first, 200);
+    // The sender has processed the copy before the second call gets its own response.
+    assert_eq!(client.put("m1", METADATA, b"x"), "+OK");
+    destination.respond(second, 503);
+    destination.next_call("a retry of the rejected message");
+    true
+}
+
+/// Guards a second copy of a response that arrives when the next call is already sent: it once answered that call, so that a
+/// message that the destination then rejected counted as delivered.
+#[test]
+fn second_copy_of_a_response_does_not_answer_the_next_call() {
+    const MAX_PLAYS: usize = 20;
+    assert!((0..MAX_PLAYS).any(|_| second_call_is_retried_despite_copy()));
+}
+
+/// Guards a response to a batch that can't be its own: the connection, on which that one may still arrive, is not used again.
+#[test]
+fn batch_response_of_another_call_ends_the_connection() {
+    for foreign in [
+        "ok",
+        r#"[{"id":"m8","state":"done"},{"id":"m9","state":"done"}]"#,
+    ] {
+        let destination = SimulatedServer::new(move |_, number| match number {
+            0 => Reply::Bytes(http::write_response(200, "OK", &[], foreign)),
+            _ => Reply::status(503),
+        })
+        .expect("destination server");
+        let platform = platform();
+        let known = list(1, &[("a", destination.address, 7, "bulk-directory")]);
+        let prepared = prepare(&known, &platform, |_| {});
+        // Both requests are there before the sender runs, so that the messages share a call.
+        let mut clients = [Client::new(prepared.clients), Client::new(prepared.clients)];
+        for (client, id) in clients.iter_mut().zip(["m1", "m2"]) {
+            client.send(&put(id, METADATA, b"x"));
+        }
+        let _sender = prepared.run();
+        assert!(destination.wait_for(2, TIMEOUT), "the messages are retried");
+        let seen = destination.seen();
+        assert_eq!(seen[0].request.path, "/hook/batch");
+        assert_ne!(seen[1].connection, seen[0].connection, "{foreign}");
+    }
+}
--- a/crates/cranehill/tests/webpush.rs
+++ b/crates/cranehill/tests/webpush.rs
@@ -87,6 +87,8 @@
             ("Content-Encoding", "aes128gcm"),
         ];
         assert_eq!(post(&front, "abc", &headers, &sealed).status, 201);
+        // A connection is not used again directly after a response.
+        std::thread::sleep(Duration::from_millis(100));
     }
     let seen = service.seen();
     assert_eq!(seen.len(), 3);
--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -131,6 +131,8 @@
     pub(crate) last_used: Time,
     /// Destinations only: calls answered on this connection.
     pub(crate) responses: u32,
+    /// Destinations only: when the latest response was complete.
+    pub(crate) idle_since: Option<Time>,
     /// Destinations only: how long the connection was idle before the latest call.
     pub(crate) idle_before_call: Duration,
     /// Clients and operators only: since when this sender waits for the peer.
@@ -160,6 +162,7 @@
             ended: false,
             last_used: now,
             responses: 0,
+            idle_since: None,
             idle_before_call: Duration::ZERO,
             waiting_since: now,
             request_received: false,
--- a/crates/daemon/src/destination_protocol.rs
+++ b/crates/daemon/src/destination_protocol.rs
@@ -40,6 +40,9 @@
     pub retry_after: Option<Duration>,
     /// The destination's load report, if the response carries a valid one.
     pub report: Option<LoadReport>,
+    /// False if the response can't be the one to this call: the list of results can't be decoded, or has a message that the call
+    /// does not have. Its connection must not be used again, since the response to this call may still arrive there.
+    pub is_of_call: bool,
 }
 
 impl DestinationResponse {
@@ -49,6 +52,7 @@
             verdicts: vec![verdict],
             retry_after: None,
             report: None,
+            is_of_call: true,
         }
     }
 }
@@ -147,6 +151,7 @@
         verdicts: vec![all; ids.len()],
         retry_after: wait,
         report: load_report(response),
+        is_of_call: true,
     }
 }
 
@@ -167,6 +172,7 @@
                 verdicts: vec![Verdict::of(Status::Malformed); ids.len()],
                 retry_after: wait,
                 report: None,
+                is_of_call: false,
             };
         }
     };
@@ -192,5 +198,6 @@
         verdicts: ids.iter().map(verdict).collect(),
         retry_after: wait,
         report: load_report(response),
+        is_of_call: states.iter().all(|state| ids.contains(&state.id.as_str())),
     }
 }
--- a/crates/daemon/src/reactor/start.rs
+++ b/crates/daemon/src/reactor/start.rs
@@ -142,7 +142,7 @@
             ingress: ClientIngress::new(limits.clients, memory, now),
             web_push,
             drain: Drain::default(),
-            upstream: UpstreamPool::new(limits.destinations, settings),
+            upstream: UpstreamPool::new(limits.destinations, settings, now),
             discovery: DiscoveryClient::new(options.discovery, watch, memory, connect_timeout),
             final_reports: FinalReportSender::new(now),
             reload: ConfigReload::new(options.read_config),
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -15,12 +15,20 @@
 use crate::destination_protocol::{DestinationResponse, Verdict};
 use crate::finished_call::{self, FinishedCall};
 use crate::http::{self, Response};
+use crate::throttled_log::ThrottledLog;
 
 /// Lower limit of [`UpstreamPool::trusted_idle`], however many idle connections turn out to be closed by the peer.
 const MIN_TRUSTED_IDLE: Duration = Duration::from_millis(100);
 /// An idle connection is not reused within this time before the destination closes it.
 const IDLE_MARGIN: Duration = Duration::from_millis(1000);
 
+/// A connection rests for this long after a response before its next call. HTTP/1.1 does not tell which call a response belongs to: a
+/// second copy of a response that arrives during the next call would be taken for the response to that call. Bytes that arrive while
+/// the connection rests end it instead. Copies arrive right behind the response, within the tolerance of the platform's time limits.
+const REST_AFTER_RESPONSE: Duration = Duration::from_millis(50);
+/// Minimum interval between two log lines about unexpected bytes on idle connections.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Why a call ends without a complete response.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Interruption {
@@ -50,10 +58,11 @@
     max_idle: Duration,
     /// A connection that was idle for longer is not reused. Learned from idle connections that the peer had closed.
     trusted_idle: Duration,
+    unexpected_bytes: ThrottledLog,
 }
 
 impl UpstreamPool {
-    pub(crate) fn new(max_connections: usize, settings: &Settings) -> UpstreamPool {
+    pub(crate) fn new(max_connections: usize, settings: &Settings, now: Time) -> UpstreamPool {
         let closed_after = settings.idle_timeout;
         UpstreamPool {
             max_connections,
@@ -62,6 +71,7 @@
                 .saturating_sub(IDLE_MARGIN)
                 .max(closed_after / 2),
             trusted_idle: Duration::MAX,
+            unexpected_bytes: ThrottledLog::new(LOG_INTERVAL, now),
         }
     }
 
@@ -146,9 +156,9 @@
         Ok(())
     }
 
-    /// The most recently used idle connection to this endpoint that can be reused. Those that can't are closed.
+    /// The most recently used idle connection to this endpoint that can be reused. Those that can't are closed, except those that rest.
     fn idle_connection(
-        &self,
+        &mut self,
         connections: &mut ConnectionTable,
         endpoint: &EndpointId,
         address: &str,
@@ -157,7 +167,10 @@
         let max_idle = self.max_idle.min(self.trusted_idle);
         let matches = |connection: &Connection| match &connection.kind {
             ConnectionKind::Destination { address: other, .. } => {
-                connection.is_idle_destination() && other == address && connection.established
+                connection.is_idle_destination()
+                    && other == address
+                    && connection.established
+                    && !is_resting(connection, now)
             }
             _ => false,
         };
@@ -165,14 +178,33 @@
             let idle = connections.of_endpoint(endpoint, matches);
             let (id, connection) = idle.max_by_key(|(_, connection)| connection.last_used)?;
             // A call written to a connection that the peer has closed, or is about to close, would be lost.
-            let alive = matches!(connection.stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock);
+            let received = connection.stream.peek(&mut [0]);
+            let alive = matches!(&received, Err(e) if e.kind() == ErrorKind::WouldBlock);
             if alive && !connection.ended && now - connection.last_used < max_idle {
                 return Some(id);
             }
+            if matches!(received, Ok(1..)) {
+                self.log_unexpected_bytes(connection, now);
+            }
             connections.close(id);
         }
     }
 
+    /// Logs bytes that have arrived on an idle connection. If this happens long after the last response, such bytes could also have
+    /// arrived during a call, as a response to it.
+    fn log_unexpected_bytes(&mut self, connection: &Connection, now: Time) {
+        let ConnectionKind::Destination { endpoint, .. } = &connection.kind else {
+            return;
+        };
+        if let Some(connections) = self.unexpected_bytes.record(now) {
+            let idle_ms = connection
+                .idle_since
+                .map_or(0, |since| (now - since).as_millis() as u64);
+            log::info!(event = "unexpected-response", connections, idle_ms;
+                "endpoint {endpoint}: bytes arrived on an idle connection {idle_ms} ms after its last response; {connections} such connections closed");
+        }
+    }
+
     /// Opens a connection to an endpoint; `check` is when its health check is sent, if it is opened for one.
     fn open(
         &self,
@@ -273,6 +305,9 @@
             return UpstreamEvent::HealthChecked { endpoint, status };
         }
         // An idle connection is unusable once the peer has closed it, or has sent bytes that belong to no call.
+        if !connection.input.is_empty() {
+            self.log_unexpected_bytes(connection, now);
+        }
         if ended || !connection.input.is_empty() {
             connections.close(id);
         }
@@ -337,12 +372,13 @@
         let parsed = finished_call::parse_response(endpoint, &call, response, now);
         let trailing =
             connection.input.len() > used && !mutation::is_enabled(Mutation::ReusesSpoilt);
-        if response.close || ended || !written || trailing {
+        if response.close || ended || !written || trailing || !parsed.is_of_call {
             connections.close(id);
         } else {
             connection.input.clear();
             connection.clear_output();
             connection.responses += 1;
+            connection.idle_since = Some(now);
             let survived_idle =
                 connection.responses > 1 && connection.idle_before_call >= self.trusted_idle / 2;
             if survived_idle {
@@ -400,6 +436,14 @@
     }
 }
 
+/// Whether the connection has had a response so recently that a second copy of it may still arrive.
+fn is_resting(connection: &Connection, now: Time) -> bool {
+    connection
+        .idle_since
+        .is_some_and(|since| now - since < REST_AFTER_RESPONSE)
+        && !mutation::is_enabled(Mutation::ReusesAtOnce)
+}
+
 /// The result of a health check; `None` while its response is incomplete.
 fn health_status(connection: &Connection, ended: bool) -> Option<Status> {
     match http::response(&connection.input, ended) {
@@ -427,3 +471,6 @@
         },
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/daemon/src/webpush/responses.rs
+++ b/crates/daemon/src/webpush/responses.rs
@@ -27,6 +27,7 @@
         verdicts: vec![verdict],
         retry_after: wait,
         report: None,
+        is_of_call: true,
     }
 }
 
--- a/crates/scenario-runner/src/mutations.rs
+++ b/crates/scenario-runner/src/mutations.rs
@@ -5,6 +5,7 @@
 const DESTINATIONS: &str = include_str!("../../../rehearsals/days/broken-partners.toml");
 const RESTARTS: &str = include_str!("../../../rehearsals/days/broken-restarts.toml");
 const UNSAFE: &str = include_str!("../../../rehearsals/days/broken-unsafe.toml");
+const REPEATED_ANSWERS: &str = include_str!("../../../rehearsals/days/repeated-answers.toml");
 const RETURN: &str = include_str!("../../../rehearsals/days/broken-return.toml");
 const ORDER: &str = include_str!("../../../rehearsals/days/broken-order.toml");
 
@@ -20,7 +21,7 @@
 }
 
 /// All mutations, in the order of the senders' own list.
-pub const CASES: [Case; 15] = [
+pub const CASES: [Case; 16] = [
     Case {
         name: "ignores-waits",
         rule: Rule::Waits,
@@ -66,6 +67,11 @@
         rule: Rule::Idle,
         scenario: DESTINATIONS,
     },
+    Case {
+        name: "reuses-at-once",
+        rule: Rule::OneEnd,
+        scenario: REPEATED_ANSWERS,
+    },
     Case {
         name: "repeats-unsafe",
         rule: Rule::Repeats,
--- a/crates/scenario-runner/src/runner/event_loop.rs
+++ b/crates/scenario-runner/src/runner/event_loop.rs
@@ -92,6 +92,7 @@
             Timer::ClientTimeout { connection, id } => self.on_client_timeout(connection, &id),
             Timer::Unrouted { id } => self.client_unanswered(&id),
             Timer::Reply { connection, serial } => self.on_reply_due(connection, serial),
+            Timer::SecondCopy { connection, reply } => self.send(connection, &reply),
             Timer::CloseIdle {
                 connection,
                 last_used,
--- a/crates/scenario-runner/src/runner/replies.rs
+++ b/crates/scenario-runner/src/runner/replies.rs
@@ -93,6 +93,7 @@
         let reply = reply(&call);
         let now = self.now();
         self.send(id, &reply.bytes);
+        self.schedule_second_copy(id, endpoint, &reply);
         self.count_deliveries(now, &call, &reply);
         let line = reply_line(&call, &reply, audit_numbers);
         self.record(
@@ -104,6 +105,22 @@
         self.read_calls(id);
     }
 
+    /// Schedules the second copy of a reply, if the destination's replies arrive twice. A malformed reply does not.
+    fn schedule_second_copy(&mut self, id: ConnectionId, endpoint: usize, reply: &WrittenReply) {
+        let now = self.now();
+        let entry = &self.endpoints[endpoint];
+        let delay = self.destinations[entry.destination].second_copy_delay(now, entry.number);
+        if let Some(delay) = delay.filter(|_| !reply.spoilt) {
+            self.timers.push(
+                now + delay,
+                Timer::SecondCopy {
+                    connection: id,
+                    reply: reply.bytes.clone(),
+                },
+            );
+        }
+    }
+
     fn count_deliveries(&mut self, now: Duration, call: &Call, reply: &WrittenReply) {
         let delivered = call
             .ids
--- a/crates/scenario-runner/src/runner/timers.rs
+++ b/crates/scenario-runner/src/runner/timers.rs
@@ -24,6 +24,11 @@
         connection: ConnectionId,
         serial: u64,
     },
+    /// The second copy of a reply arrives.
+    SecondCopy {
+        connection: ConnectionId,
+        reply: Vec<u8>,
+    },
     /// A destination closes a connection if it was last used at `last_used`.
     CloseIdle {
         connection: ConnectionId,
--- a/crates/simulation/src/destination/simulated.rs
+++ b/crates/simulation/src/destination/simulated.rs
@@ -143,6 +143,14 @@
         Some(between(&mut self.rng, least, most))
     }
 
+    /// The delay after which the reply that an endpoint sends at `now` arrives a second time; `None` if it does not.
+    pub fn second_copy_delay(&mut self, now: Duration, endpoint: usize) -> Option<Duration> {
+        let state = self.state(endpoint, now);
+        let (least, most) = state.repeat_delay?;
+        let is_repeated = self.rng.random_bool(state.repeated_share.clamp(0.0, 1.0));
+        is_repeated.then(|| between(&mut self.rng, least, most))
+    }
+
     /// Processes a complete call; returns the reply, and whether the call made the destination fail under overload.
     pub fn call(&mut self, now: Duration, asked: Asked) -> (Reply, Fell) {
         let messages = asked.messages.max(1);
--- a/crates/simulation/src/fault.rs
+++ b/crates/simulation/src/fault.rs
@@ -36,6 +36,15 @@
         /// Share of the limit that remains, 0 to 1.
         factor: f64,
     },
+    /// Some replies arrive a second time shortly afterwards, also if the sender has sent its next call meanwhile.
+    Repeat {
+        /// Share of the replies that arrive twice, 0 to 1.
+        share: f64,
+        /// Shortest delay of the second copy.
+        least: Duration,
+        /// Longest delay of the second copy.
+        most: Duration,
+    },
     /// Idle connections are closed.
     CloseIdle {
         /// Shortest idle timeout.
@@ -76,6 +85,7 @@
             Kind::Spoil { .. }
             | Kind::Slow { .. }
             | Kind::Lower { .. }
+            | Kind::Repeat { .. }
             | Kind::CloseIdle { .. } => false,
         }
     }
@@ -103,6 +113,10 @@
     pub slowdown: f64,
     /// Share of the admission limit that remains, 0 to 1.
     pub lower: f64,
+    /// Share of the replies that arrive twice, 0 to 1.
+    pub repeated_share: f64,
+    /// Shortest and longest delay of a reply's second copy; `None` if no reply arrives twice.
+    pub repeat_delay: Option<(Duration, Duration)>,
     /// Shortest and longest timeout of idle connections; `None` if they stay open.
     pub close_idle: Option<(Duration, Duration)>,
 }
@@ -119,6 +133,8 @@
             malformed_share: 0.0,
             slowdown: 1.0,
             lower: 1.0,
+            repeated_share: 0.0,
+            repeat_delay: None,
             close_idle: None,
         };
         for fault in faults.iter().filter(|f| f.is_on(now)) {
@@ -137,9 +153,12 @@
             Kind::Spoil { share } => self.malformed_share = either(self.malformed_share, share),
             Kind::Slow { factor } => self.slowdown *= factor.max(0.0),
             Kind::Lower { factor } => self.lower *= factor.clamp(0.0, 1.0),
+            Kind::Repeat { share, least, most } => {
+                self.repeated_share = either(self.repeated_share, share);
+                self.repeat_delay = Some(shortest(self.repeat_delay, least, most));
+            }
             Kind::CloseIdle { least, most } => {
-                let (other_least, other_most) = self.close_idle.unwrap_or((least, most));
-                self.close_idle = Some((other_least.min(least), other_most.min(most)));
+                self.close_idle = Some(shortest(self.close_idle, least, most));
             }
         }
     }
@@ -150,6 +169,16 @@
     }
 }
 
+/// The shorter bounds of two ranges of times; the new range alone if there is no other.
+fn shortest(
+    other: Option<(Duration, Duration)>,
+    least: Duration,
+    most: Duration,
+) -> (Duration, Duration) {
+    let (other_least, other_most) = other.unwrap_or((least, most));
+    (other_least.min(least), other_most.min(most))
+}
+
 /// The probability of at least one of two independent events.
 fn either(one: f64, other: f64) -> f64 {
     1.0 - (1.0 - one) * (1.0 - other)
--- a/crates/simulation/src/scenario/error.rs
+++ b/crates/simulation/src/scenario/error.rs
@@ -129,7 +129,7 @@
     },
     /// The kind of a fault of an endpoint is unknown.
     #[error(
-        "kind: '{kind}' is not vanish, refuse, silent, shut, fail, spoil, slow, lower or close-idle"
+        "kind: '{kind}' is not vanish, refuse, silent, shut, fail, spoil, slow, lower, repeat or close-idle"
     )]
     FaultKind {
         /// The kind in the file.
--- a/crates/simulation/src/scenario/faults.rs
+++ b/crates/simulation/src/scenario/faults.rs
@@ -16,6 +16,9 @@
 const DEFAULT_CLOSE_IDLE: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_secs(3));
 
+/// Default shortest and longest delay of a reply's second copy.
+const DEFAULT_REPEAT_DELAY: (Duration, Duration) = (Duration::ZERO, Duration::from_millis(10));
+
 /// Reads all faults and adds them to the endpoints of the destinations. The order of the file is the order of the random
 /// draws, so it must be kept.
 pub(super) fn read(
@@ -82,6 +85,16 @@
         "lower" => Ok(Kind::Lower {
             factor: table.factor.unwrap_or(0.5).clamp(0.0, 1.0),
         }),
+        "repeat" => {
+            let (least, most) = table
+                .after
+                .map_or(DEFAULT_REPEAT_DELAY, |(least, most)| (least.0, most.0));
+            Ok(Kind::Repeat {
+                share: share.unwrap_or(1.0),
+                least,
+                most,
+            })
+        }
         "close-idle" => {
             let (least, most) = table
                 .after
--- a/crates/simulation/src/scenario/file.rs
+++ b/crates/simulation/src/scenario/file.rs
@@ -180,13 +180,13 @@
     /// Probability with which each of these endpoints is affected, drawn from the seed.
     #[serde(default)]
     pub(super) part: Option<Spanned<f64>>,
-    /// For `fail` and `spoil`: share of the calls or replies affected.
+    /// For `fail`, `spoil` and `repeat`: share of the calls or replies affected.
     #[serde(default)]
     pub(super) share: Option<Spanned<f64>>,
     /// For `slow`: factor of the service time. For `lower`: share of the limit that remains.
     #[serde(default)]
     pub(super) factor: Option<f64>,
-    /// For `close-idle`: shortest and longest idle timeout.
+    /// For `close-idle`: shortest and longest idle timeout. For `repeat`: shortest and longest delay of the second copy.
     #[serde(default)]
     pub(super) after: Option<(Span, Span)>,
 }
--- a/crates/simulation/tests/invariants.rs
+++ b/crates/simulation/tests/invariants.rs
@@ -36,6 +36,11 @@
         (0.0..1.0).prop_map(|share| Kind::Spoil { share }),
         (1.0..3.0).prop_map(|factor| Kind::Slow { factor }),
         (0.0..1.0).prop_map(|factor| Kind::Lower { factor }),
+        (0.0..1.0).prop_map(|share| Kind::Repeat {
+            share,
+            least: ms(0),
+            most: ms(10)
+        }),
         Just(Kind::CloseIdle {
             least: ms(10),
             most: ms(500)
