Final reports: a second copy of a response does not acknowledge the next reports

What callers would see: a message that ended without delivery, and no final report of it.

Change: a connection that rests is closed and a new one opened, so that no report waits. Bytes behind a response, or while no call is in flight, end the connection. The rest is a property of the connection, used by both. The watch on discovery was read and needs nothing: a copy of the list that was just applied changes nothing and ends the connection.

--- a/crates/cranehill/tests/spoilt.rs
+++ b/crates/cranehill/tests/spoilt.rs
@@ -120,23 +120,24 @@
     assert_eq!(connections, [0, 0, 1, 2]);
 }
 
-/// A destination on one thread of the test, which decides the order of everything that it sends.
-struct Destination {
+/// A server on the thread of the test, which decides the order of everything that it sends.
+struct ScriptedServer {
     listener: TcpListener,
     connections: Vec<TcpStream>,
 }
 
-impl Destination {
-    fn new() -> Destination {
+impl ScriptedServer {
+    fn new() -> ScriptedServer {
         let listener = TcpListener::bind("127.0.0.1:0").expect("listener bound");
         listener.set_nonblocking(true).expect("socket option set");
-        Destination {
+        ScriptedServer {
             listener,
             connections: Vec::new(),
         }
     }
 
-    /// Waits for the next call, `what`, and returns the number of its connection. The call is small and arrives in one piece.
+    /// Waits for the next POST, `what`, and returns the number of its connection. Other requests get no response. A request is small and
+    /// arrives in one piece.
     fn next_call(&mut self, what: &str) -> usize {
         let mut calling = None;
         wait_until(what, || {
@@ -160,7 +161,10 @@
 fn has_call(connection: &mut TcpStream) -> bool {
     let mut buffer = [0; 4096];
     match connection.read(&mut buffer) {
-        Ok(length) => matches!(http::request(&buffer[..length]), Ok(Some(_))),
+        Ok(length) => {
+            let parsed = http::request(&buffer[..length]);
+            matches!(parsed, Ok(Some((request, _))) if request.method == "POST")
+        }
         Err(e) => {
             assert_eq!(e.kind(), ErrorKind::WouldBlock);
             false
@@ -168,13 +172,16 @@
     }
 }
 
+/// A connection may be used again so long after a response.
+const REST: Duration = Duration::from_millis(50);
+/// A test that a held-up machine has spoilt is played again, at most so many times.
+const MAX_PLAYS: usize = 20;
+
 /// Plays two calls, with a second copy of the first response while the second call is under way. The second call is rejected, and
 /// must be retried. Returns false if the second call was so late that the connection of the first one could be used again: that
 /// proves nothing.
 fn second_call_is_retried_despite_copy() -> bool {
-    /// A connection may be used again after this time.
-    const REST: Duration = Duration::from_millis(50);
-    let mut destination = Destination::new();
+    let mut destination = ScriptedServer::new();
     let address = destination.listener.local_addr().expect("an address");
     let platform = platform();
     let sender = start(&list(1, &[("a", address, 7, "station")]), &platform);
@@ -200,7 +207,6 @@
 /// message that the destination then rejected counted as delivered.
 #[test]
 fn second_copy_of_a_response_does_not_answer_the_next_call() {
-    const MAX_PLAYS: usize = 20;
     assert!((0..MAX_PLAYS).any(|_| second_call_is_retried_despite_copy()));
 }
 
@@ -231,3 +237,38 @@
         assert_ne!(seen[1].connection, seen[0].connection, "{foreign}");
     }
 }
+
+/// Plays two final reports, with a second copy of the response to the first while the second is under way. The second is rejected, and
+/// must be sent again. Returns false if it was so late that the connection of the first could be used again: that proves nothing.
+fn second_report_is_resent_despite_copy() -> bool {
+    let destination = SimulatedServer::new(|_, _| Reply::status(400)).expect("destination server");
+    let mut reports = ScriptedServer::new();
+    let address = reports.listener.local_addr().expect("an address");
+    let platform = platform();
+    let known = list(1, &[("a", destination.address, 7, "station")]);
+    let sender = start_with(&known, &platform, |options| {
+        options.discovery = Some(address);
+    });
+    let mut client = Client::new(sender.clients);
+    assert_eq!(client.put("m1", METADATA, b"x"), "+OK");
+    let first = reports.next_call("the first report");
+    let answered = Instant::now();
+    reports.respond(first, 204);
+    assert_eq!(client.put("m2", METADATA, b"x"), "+OK");
+    let second = reports.next_call("the second report");
+    if second == first && answered.elapsed() >= REST {
+        return false;
+    }
+    reports.respond(first, 204);
+    // The sender has processed the copy before the second report gets its own response.
+    assert_eq!(client.put("m1", METADATA, b"x"), "+OK");
+    reports.respond(second, 500);
+    reports.next_call("the rejected report once more");
+    true
+}
+
+/// Guards a second copy of the response to a final report: it once acknowledged the next report, which the platform had not taken.
+#[test]
+fn second_copy_of_a_response_does_not_acknowledge_the_next_report() {
+    assert!((0..MAX_PLAYS).any(|_| second_report_is_resent_despite_copy()));
+}
--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cranehill_core::Attempt;
+use cranehill_core::mutation::{self, Mutation};
 use cranehill_scheduler::Time;
 use cranehill_scheduler::api::EndpointId;
 use mio::net::TcpStream;
@@ -21,6 +22,12 @@
 /// A response that has begun counts as stalled when nothing arrives for this long.
 const MAX_RESPONSE_PAUSE: Duration = Duration::from_millis(400);
 
+/// A connection rests for this long after a response before its next request. HTTP/1.1 does not tell which request a response belongs
+/// to: a second copy of a response that arrives during the next request would be taken for the response to that one. Bytes that arrive
+/// while the connection rests end it instead. Copies arrive right behind the response, within the tolerance of the platform's time
+/// limits.
+pub(crate) const REST_AFTER_RESPONSE: Duration = Duration::from_millis(50);
+
 /// A call to a destination whose response is not complete.
 pub(crate) struct InFlightCall {
     pub(crate) attempts: Vec<Attempt>,
@@ -131,7 +138,7 @@
     pub(crate) last_used: Time,
     /// Destinations only: calls answered on this connection.
     pub(crate) responses: u32,
-    /// Destinations only: when the latest response was complete.
+    /// Destinations and final reports only: when the latest response was complete.
     pub(crate) idle_since: Option<Time>,
     /// Destinations only: how long the connection was idle before the latest call.
     pub(crate) idle_before_call: Duration,
@@ -344,6 +351,13 @@
         )
     }
 
+    /// Whether the connection has had a response so recently that a second copy of it may still arrive.
+    pub(crate) fn is_resting(&self, now: Time) -> bool {
+        self.idle_since
+            .is_some_and(|since| now - since < REST_AFTER_RESPONSE)
+            && !mutation::is_enabled(Mutation::ReusesAtOnce)
+    }
+
     pub(crate) fn call(&self) -> Option<&InFlightCall> {
         match &self.kind {
             ConnectionKind::Destination { call, .. } => call.as_ref(),
--- a/crates/daemon/src/final_report_queue.rs
+++ b/crates/daemon/src/final_report_queue.rs
@@ -65,6 +65,11 @@
         self.in_flight.iter().map(|(id, _)| id.as_str()).collect()
     }
 
+    /// Whether a call waits for its response.
+    pub fn has_call_in_flight(&self) -> bool {
+        !self.in_flight.is_empty()
+    }
+
     /// Whether no report is queued or in flight.
     pub fn is_idle(&self) -> bool {
         self.in_flight.is_empty() && self.waiting.is_empty()
--- a/crates/daemon/src/final_report_sender.rs
+++ b/crates/daemon/src/final_report_sender.rs
@@ -38,7 +38,13 @@
         (!self.queue.is_idle()).then(|| connection.last_used + RESPONSE_TIMEOUT)
     }
 
-    /// Sends the next call if it is due, on the open connection or on a new one.
+    /// Whether a call waits for its response.
+    pub(crate) fn has_call_in_flight(&self) -> bool {
+        self.queue.has_call_in_flight()
+    }
+
+    /// Sends the next call if it is due, on the open connection or on a new one. A connection that rests is closed instead: a
+    /// second copy of its last response would acknowledge the reports of this call.
     pub(crate) fn send(
         &mut self,
         connections: &mut ConnectionTable,
@@ -51,9 +57,13 @@
         let open = connections.iter().find(|(_, connection)| {
             matches!(connection.kind, ConnectionKind::FinalReports) && !connection.ended
         });
-        let id = match open.map(|(id, _)| id) {
-            Some(id) => id,
-            None => match connections.connect(ConnectionKind::FinalReports, address, now) {
+        let open = open.map(|(id, connection)| (id, connection.is_resting(now)));
+        if let Some((id, true)) = open {
+            connections.close(id);
+        }
+        let id = match open {
+            Some((id, false)) => id,
+            _ => match connections.connect(ConnectionKind::FinalReports, address, now) {
                 Ok(id) => id,
                 Err(e) => {
                     log::info!("final reports: {e}");
--- a/crates/daemon/src/reactor/platform.rs
+++ b/crates/daemon/src/reactor/platform.rs
@@ -12,10 +12,20 @@
 impl Reactor {
     /// Processes the input on a connection to the platform.
     pub(super) fn on_platform(&mut self, id: usize, write_failed: bool) {
+        let now = self.clock.now();
         let Some(connection) = self.connections.get_mut(id) else {
             return;
         };
         let ended = connection.ended || write_failed;
+        let is_idle = matches!(connection.kind, ConnectionKind::FinalReports)
+            && !self.final_reports.has_call_in_flight();
+        if is_idle {
+            // Bytes that belong to no call must not be taken for the response to the next one.
+            if ended || !connection.input.is_empty() {
+                self.connections.close(id);
+            }
+            return;
+        }
         let (is_watch, max_body_bytes) = match connection.kind {
             ConnectionKind::Discovery { max_body_bytes } => (true, max_body_bytes),
             _ => (false, http::MAX_BODY_BYTES),
@@ -23,7 +33,8 @@
         match http::response_within(&connection.input, ended, max_body_bytes) {
             Ok(Some((response, length))) => {
                 connection.input.drain(..length);
-                let reusable = !response.close && !ended;
+                connection.idle_since = Some(now);
+                let reusable = !response.close && !ended && connection.input.is_empty();
                 if is_watch {
                     self.on_discovery_response(id, &response, reusable);
                 } else {
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -22,10 +22,6 @@
 /// An idle connection is not reused within this time before the destination closes it.
 const IDLE_MARGIN: Duration = Duration::from_millis(1000);
 
-/// A connection rests for this long after a response before its next call. HTTP/1.1 does not tell which call a response belongs to: a
-/// second copy of a response that arrives during the next call would be taken for the response to that call. Bytes that arrive while
-/// the connection rests end it instead. Copies arrive right behind the response, within the tolerance of the platform's time limits.
-const REST_AFTER_RESPONSE: Duration = Duration::from_millis(50);
 /// Minimum interval between two log lines about unexpected bytes on idle connections.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -170,7 +166,7 @@
                 connection.is_idle_destination()
                     && other == address
                     && connection.established
-                    && !is_resting(connection, now)
+                    && !connection.is_resting(now)
             }
             _ => false,
         };
@@ -436,14 +432,6 @@
     }
 }
 
-/// Whether the connection has had a response so recently that a second copy of it may still arrive.
-fn is_resting(connection: &Connection, now: Time) -> bool {
-    connection
-        .idle_since
-        .is_some_and(|since| now - since < REST_AFTER_RESPONSE)
-        && !mutation::is_enabled(Mutation::ReusesAtOnce)
-}
-
 /// The result of a health check; `None` while its response is incomplete.
 fn health_status(connection: &Connection, ended: bool) -> Option<Status> {
     match http::response(&connection.input, ended) {
--- a/crates/daemon/src/upstream/tests.rs
+++ b/crates/daemon/src/upstream/tests.rs
@@ -9,6 +9,7 @@
 
 use super::*;
 use crate::clock::Clock;
+use crate::connection::REST_AFTER_RESPONSE;
 
 const REJECTION: &[u8] = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
 
