--- a/crates/cranehill/tests/common/mod.rs
+++ b/crates/cranehill/tests/common/mod.rs
@@ -296,3 +296,20 @@
     });
     (platform.expect("platform"), publish)
 }
+
+/// A destination that does not answer until the returned flag is set.
+pub(crate) fn silent_destination() -> (SimulatedServer, Arc<AtomicBool>) {
+    let open = Arc::new(AtomicBool::new(false));
+    let is_open = open.clone();
+    let answer = move |_: &_, _| {
+        if is_open.load(Ordering::Relaxed) {
+            Reply::status(200)
+        } else {
+            Reply::Silent
+        }
+    };
+    (
+        SimulatedServer::new(answer).expect("destination server"),
+        open,
+    )
+}
