--- /dev/null
+++ b/review/standin-2/main.rs
@@ -0,0 +1,17 @@
+//! The stand-ins of review 2: `standin CASE FOLDER` plays one case; it is started by the `run.sh` of the case.
+
+mod kit;
+mod push_restart;
+
+use std::path::PathBuf;
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let (case, folder) = (arguments.next().unwrap_or_default(), arguments.next().unwrap_or_default());
+    kit::begin(&PathBuf::from(folder));
+    kit::note(if kit::trouble() { "with the disruption" } else { "TROUBLE=0: without the disruption" });
+    match case.as_str() {
+        "push-restart" => push_restart::play(),
+        other => kit::give_up(&format!("no case '{other}'")),
+    }
+}
