--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,6 +1,7 @@
 //! The stand-ins of review 2: `standin CASE FOLDER` plays one case; it is started by the `run.sh` of the case.
 
 mod kit;
+mod discovery_moved;
 mod push_restart;
 
 use std::path::PathBuf;
@@ -12,6 +13,7 @@
     kit::note(if kit::trouble() { "with the disruption" } else { "TROUBLE=0: without the disruption" });
     match case.as_str() {
         "push-restart" => push_restart::play(),
+        "discovery-moved" => discovery_moved::play(),
         other => kit::give_up(&format!("no case '{other}'")),
     }
 }
