--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,6 +2,7 @@
 
 mod kit;
 mod discovery_moved;
+mod old_list;
 mod push_restart;
 
 use std::path::PathBuf;
@@ -14,6 +15,7 @@
     match case.as_str() {
         "push-restart" => push_restart::play(),
         "discovery-moved" => discovery_moved::play(),
+        "old-list" => old_list::play(),
         other => kit::give_up(&format!("no case '{other}'")),
     }
 }
