--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,5 +1,6 @@
 //! The stand-ins of review 2: `standin CASE FOLDER` plays one case; it is started by the `run.sh` of the case.
 
+mod cut_answer;
 mod kit;
 mod discovery_moved;
 mod old_list;
@@ -16,6 +17,7 @@
         "push-restart" => push_restart::play(),
         "discovery-moved" => discovery_moved::play(),
         "old-list" => old_list::play(),
+        "cut-answer" => cut_answer::play(),
         other => kit::give_up(&format!("no case '{other}'")),
     }
 }
