--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,6 +1,7 @@
 //! The stand-ins of review 2: `standin CASE FOLDER` plays one case; it is started by the `run.sh` of the case.
 
 mod cut_answer;
+mod deep_folder;
 mod kit;
 mod discovery_moved;
 mod old_list;
@@ -18,6 +19,7 @@
         "discovery-moved" => discovery_moved::play(),
         "old-list" => old_list::play(),
         "cut-answer" => cut_answer::play(),
+        "deep-folder" => deep_folder::play(),
         other => kit::give_up(&format!("no case '{other}'")),
     }
 }
