--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 mod deep_folder;
 mod kit;
 mod discovery_moved;
+mod memory;
 mod push_restart;
 
 use std::path::PathBuf;
@@ -18,6 +19,7 @@
         "discovery-moved" => discovery_moved::play(),
         "cut-answer" => cut_answer::play(),
         "deep-folder" => deep_folder::play(),
+        "memory" => memory::play(),
         other => kit::give_up(&format!("no case '{other}'")),
     }
 }
