--- a/review/standin-2/discovery_moved.rs
+++ b/review/standin-2/discovery_moved.rs
@@ -38,16 +38,20 @@
         give_up("no notice on a calm day");
     }
     note(format!("notice {} ms after the message was taken on", at.elapsed().as_millis()));
-    // The new configuration names the second address; the first one goes some seconds later.
+    // SIGHUP never comes in the first second.
+    thread::sleep(ms(1500));
+    // The new configuration names the second address. The first one closes after 1.5 s, and the second one counts after 4 s.
     let path_2 = write_config(&config(&Site::SanjoseCentral, after.server.address, &[class()], 5, &entries));
     note("a new configuration moves discovery to the second address");
     old.signal("HUP");
+    let moved_at = Instant::now();
     wait_for("a watch at the second address", ms(4000), || {
         (after.watches.load(std::sync::atomic::Ordering::SeqCst) > 0).then_some(())
     });
-    thread::sleep(ms(4000));
+    thread::sleep(ms(1500).saturating_sub(moved_at.elapsed()));
     before.server.close();
     note("the first address is gone");
+    thread::sleep(ms(4500).saturating_sub(moved_at.elapsed()));
     let (id, taken, _) = hand_in(2);
     if !taken || poll(SHORT + GRACE + ms(500), || after.notice_of(&id)).is_none() {
         give_up("no notice at the second address after SIGHUP");
