--- a/review/standin-2/cut_answer.rs
+++ b/review/standin-2/cut_answer.rs
@@ -31,8 +31,14 @@
     let partner = Server::start(move |request, stream| {
         let arrived = Instant::now();
         let body = String::from_utf8_lossy(&request.body).into_owned();
-        let (account, order) = body.split_once('/').map(|(a, b)| (a.to_owned(), b.to_owned())).unwrap_or_default();
-        note(format!("partner: call {} body {body}", request.header("X-Txn")));
+        let (account, order) = body
+            .split_once('/')
+            .map(|(a, b)| (a.to_owned(), b.to_owned()))
+            .unwrap_or_default();
+        note(format!(
+            "partner: call {} body {body}",
+            request.header("X-Txn")
+        ));
         let takes_effect = {
             let (books, account, body) = (books.clone(), account.clone(), body.clone());
             move || {
@@ -62,9 +68,27 @@
     let entries = vec![Entry::up("s-1", partner.address, "bulk-host", 7)];
     let platform = Platform::start("platform", 1, entries.clone());
     let listen = free_address();
-    let class = Class { name: "licence-order", effect: "unsafe", in_order: true, aim_ms: 4000, deadline_ms: 24_000, window_ms: 0 };
-    let path = write_config(&config(&Site::RecifeCampus, platform.server.address, &[class], 1, &entries));
-    let variables = variables(&path, listen, platform.server.address, &work_folder().join("state"));
+    let class = Class {
+        name: "licence-order",
+        effect: "unsafe",
+        in_order: true,
+        aim_ms: 4000,
+        deadline_ms: 24_000,
+        window_ms: 0,
+    };
+    let path = write_config(&config(
+        &Site::RecifeCampus,
+        platform.server.address,
+        &[class],
+        1,
+        &entries,
+    ));
+    let variables = variables(
+        &path,
+        listen,
+        platform.server.address,
+        &work_folder().join("state"),
+    );
     let sender = Sender::start("sender-1", "", &variables);
     wait_ready(listen);
     for account in 1..=KEYS {
@@ -83,10 +107,19 @@
     let accounts = lock(&accounts);
     let mut violations = Vec::new();
     for (key, account) in accounts.iter() {
-        let (Some(second_at), Some(broken_at)) = (account.second_at, account.broken_at) else { continue };
+        let (Some(second_at), Some(broken_at)) = (account.second_at, account.broken_at) else {
+            continue;
+        };
         let rested = second_at.saturating_duration_since(broken_at);
-        let in_order = account.effects.first().is_some_and(|body| body.ends_with("first"));
-        note(format!("{key}: rested {} ms, effects {}", rested.as_millis(), if in_order { "in order" } else { "out of order" }));
+        let in_order = account
+            .effects
+            .first()
+            .is_some_and(|body| body.ends_with("first"));
+        note(format!(
+            "{key}: rested {} ms, effects {}",
+            rested.as_millis(),
+            if in_order { "in order" } else { "out of order" }
+        ));
         if rested + SLACK < REST {
             violations.push(format!(
                 "key {key}: the second message was sent {} ms after the connection of the first one's call broke; effects {}",
--- a/review/standin-2/discovery_moved.rs
+++ b/review/standin-2/discovery_moved.rs
@@ -1,7 +1,7 @@
 //! Discovery moves with a new configuration and SIGHUP; later a new version takes over under load.
 
-use std::time::{Duration, Instant};
 use std::thread;
+use std::time::{Duration, Instant};
 
 use crate::kit::*;
 
@@ -21,27 +21,58 @@
     let before = Platform::start("platform, first address", 5, entries.clone());
     let after = Platform::start("platform, second address", 5, entries.clone());
     let (listen, operator_1, operator_2) = (free_address(), free_address(), free_address());
-    let class = || Class { name: "episode-notice", effect: "keyed", in_order: false, aim_ms: 4000, deadline_ms: 20_000, window_ms: 20_000 };
-    let path = write_config(&config(&Site::SanjoseCentral, before.server.address, &[class()], 5, &entries));
-    let mut variables = variables(&path, listen, before.server.address, &work_folder().join("state"));
+    let class = || Class {
+        name: "episode-notice",
+        effect: "keyed",
+        in_order: false,
+        aim_ms: 4000,
+        deadline_ms: 20_000,
+        window_ms: 20_000,
+    };
+    let path = write_config(&config(
+        &Site::SanjoseCentral,
+        before.server.address,
+        &[class()],
+        5,
+        &entries,
+    ));
+    let mut variables = variables(
+        &path,
+        listen,
+        before.server.address,
+        &work_folder().join("state"),
+    );
     variables.insert("NODE_OPERATOR", operator_1.to_string());
     let mut old = Sender::start("sender-1", "", &variables);
     wait_ready(listen);
     let hand_in = |n: u64| {
         let (id, key) = (hex(n), hex(n + 1000));
-        let names = format!("c=episode-notice,t=onda-central,d={},k={key},dest=7", SHORT.as_millis());
-        let taken = put(listen, "0000000000000000", &id, &names, "body").is_some_and(|answer| answer.starts_with('+'));
+        let names = format!(
+            "c=episode-notice,t=onda-central,d={},k={key},dest=7",
+            SHORT.as_millis()
+        );
+        let taken = put(listen, "0000000000000000", &id, &names, "body")
+            .is_some_and(|answer| answer.starts_with('+'));
         (id, taken, Instant::now())
     };
     let (id, taken, at) = hand_in(1);
     if !taken || poll(SHORT + GRACE + ms(500), || before.notice_of(&id)).is_none() {
         give_up("no notice on a calm day");
     }
-    note(format!("notice {} ms after the message was taken on", at.elapsed().as_millis()));
+    note(format!(
+        "notice {} ms after the message was taken on",
+        at.elapsed().as_millis()
+    ));
     // SIGHUP never comes in the first second.
     thread::sleep(ms(1500));
     // The new configuration names the second address. The first one closes after 1.5 s, and the second one counts after 4 s.
-    let path_2 = write_config(&config(&Site::SanjoseCentral, after.server.address, &[class()], 5, &entries));
+    let path_2 = write_config(&config(
+        &Site::SanjoseCentral,
+        after.server.address,
+        &[class()],
+        5,
+        &entries,
+    ));
     note("a new configuration moves discovery to the second address");
     old.signal("HUP");
     let moved_at = Instant::now();
@@ -68,14 +99,19 @@
                 break;
             }
             if let Some(code) = sender.ended() {
-                finish(&[format!("the new version ended with {code:?} before it was ready")]);
+                finish(&[format!(
+                    "the new version ended with {code:?} before it was ready"
+                )]);
             }
             if started.elapsed() > ms(30_000) {
                 finish(&["the new version is not ready after 30 s".to_owned()]);
             }
             thread::sleep(ms(20));
         }
-        note(format!("sender-2: ready {} ms after its start", started.elapsed().as_millis()));
+        note(format!(
+            "sender-2: ready {} ms after its start",
+            started.elapsed().as_millis()
+        ));
         if old.ended().is_none() {
             old.signal("TERM");
             let term_at = Instant::now();
@@ -102,8 +138,13 @@
         let owed_by = at + SHORT + GRACE;
         match after.notice_of(&id) {
             Some(notice) if notice.at <= owed_by => note(format!("{id}: notice in time")),
-            Some(notice) => violations.push(format!("{id}: notice {} ms late", (notice.at - owed_by).as_millis())),
-            None => violations.push(format!("{id}: taken on with +OK, time over, never delivered in time nor ended by a notice")),
+            Some(notice) => violations.push(format!(
+                "{id}: notice {} ms late",
+                (notice.at - owed_by).as_millis()
+            )),
+            None => violations.push(format!(
+                "{id}: taken on with +OK, time over, never delivered in time nor ended by a notice"
+            )),
         }
     }
     drop(new);
--- a/review/standin-2/kit.rs
+++ b/review/standin-2/kit.rs
@@ -19,7 +19,9 @@
 }
 
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
 /// Ids of the processes that this program started and that have not been waited for.
@@ -28,7 +30,8 @@
 
 /// Opens `record.txt` in the case's folder, and ends everything if the run takes too long.
 pub fn begin(folder: &Path) {
-    let file = File::create(folder.join("record.txt")).unwrap_or_else(|e| give_up(&format!("record.txt: {e}")));
+    let file = File::create(folder.join("record.txt"))
+        .unwrap_or_else(|e| give_up(&format!("record.txt: {e}")));
     let _ = RECORD.set((Instant::now(), Mutex::new(file)));
     thread::spawn(|| {
         thread::sleep(MAX_RUN);
@@ -39,7 +42,11 @@
 /// Writes a line to the record.
 pub fn note(text: impl AsRef<str>) {
     if let Some((start, file)) = RECORD.get() {
-        let line = format!("{:9.3} s  {}\n", start.elapsed().as_secs_f64(), text.as_ref());
+        let line = format!(
+            "{:9.3} s  {}\n",
+            start.elapsed().as_secs_f64(),
+            text.as_ref()
+        );
         let _ = lock(file).write_all(line.as_bytes());
     }
 }
@@ -79,12 +86,18 @@
 }
 
 fn signal_id(id: u32, name: &str) {
-    let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {id}")).stderr(Stdio::null()).status();
+    let _ = Command::new("/bin/sh")
+        .arg("-c")
+        .arg(format!("kill -{name} {id}"))
+        .stderr(Stdio::null())
+        .status();
 }
 
 /// A folder of this run, removed by `run.sh`.
 pub fn work_folder() -> PathBuf {
-    let folder = std::env::var("WORK").map(PathBuf::from).unwrap_or_else(|_| give_up("WORK is not set"));
+    let folder = std::env::var("WORK")
+        .map(PathBuf::from)
+        .unwrap_or_else(|_| give_up("WORK is not set"));
     let _ = fs::create_dir_all(&folder);
     folder
 }
@@ -112,24 +125,48 @@
 impl Sender {
     /// Starts `run`, with further arguments and these variables.
     pub fn start(name: &str, arguments: &str, variables: &BTreeMap<&str, String>) -> Sender {
-        let deploy = fs::read_to_string("deploy/balancer.toml").unwrap_or_else(|e| give_up(&format!("deploy file: {e}")));
-        let run = deploy.lines().find_map(|line| line.strip_prefix("run = \"")?.strip_suffix('"').map(str::to_owned));
+        let deploy = fs::read_to_string("deploy/balancer.toml")
+            .unwrap_or_else(|e| give_up(&format!("deploy file: {e}")));
+        let run = deploy.lines().find_map(|line| {
+            line.strip_prefix("run = \"")?
+                .strip_suffix('"')
+                .map(str::to_owned)
+        });
         let run = run.unwrap_or_else(|| give_up("no `run` in the deploy file"));
         let temporary = work_folder().join(format!("tmp-{name}"));
         let _ = fs::create_dir_all(&temporary);
-        let log = File::create(work_folder().join(format!("{name}.log"))).unwrap_or_else(|e| give_up(&format!("log: {e}")));
-        let log_too = log.try_clone().unwrap_or_else(|e| give_up(&format!("log: {e}")));
+        let log = File::create(work_folder().join(format!("{name}.log")))
+            .unwrap_or_else(|e| give_up(&format!("log: {e}")));
+        let log_too = log
+            .try_clone()
+            .unwrap_or_else(|e| give_up(&format!("log: {e}")));
         let mut command = Command::new("/bin/sh");
-        command.arg("-c").arg(format!("{run} {arguments}")).env("TMPDIR", &temporary).env("RUST_LOG", "debug");
+        command
+            .arg("-c")
+            .arg(format!("{run} {arguments}"))
+            .env("TMPDIR", &temporary)
+            .env("RUST_LOG", "debug");
         command.stdin(Stdio::null()).stdout(log).stderr(log_too);
-        for variable in ["NODE_CONFIG", "NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY", "NODE_STATE", "NODE_OPERATOR"] {
+        for variable in [
+            "NODE_CONFIG",
+            "NODE_NAME",
+            "NODE_LISTEN",
+            "NODE_DISCOVERY",
+            "NODE_STATE",
+            "NODE_OPERATOR",
+        ] {
             command.env_remove(variable);
         }
         command.envs(variables);
-        let child = command.spawn().unwrap_or_else(|e| give_up(&format!("{run}: {e}")));
+        let child = command
+            .spawn()
+            .unwrap_or_else(|e| give_up(&format!("{run}: {e}")));
         lock(&RUNNING).push(child.id());
         note(format!("{name}: started"));
-        Sender { child, name: name.to_owned() }
+        Sender {
+            child,
+            name: name.to_owned(),
+        }
     }
 
     pub fn id(&self) -> u32 {
@@ -212,7 +249,10 @@
         }
         self.stream.write_all(&bytes).ok()?;
         let mut line = String::new();
-        self.reader.read_line(&mut line).ok().filter(|read| *read > 0)?;
+        self.reader
+            .read_line(&mut line)
+            .ok()
+            .filter(|read| *read > 0)?;
         Some(line.trim_end().to_owned())
     }
 }
@@ -222,7 +262,10 @@
     let mut client = Client::connect(address)?;
     let parts = ["MSG.PUT", key, id, names, body].map(str::as_bytes);
     let answer = client.request(&parts);
-    note(format!("client: MSG.PUT {key} {id} {names}: {}", answer.as_deref().unwrap_or("no answer")));
+    note(format!(
+        "client: MSG.PUT {key} {id} {names}: {}",
+        answer.as_deref().unwrap_or("no answer")
+    ));
     answer
 }
 
@@ -242,12 +285,17 @@
 
 impl Request {
     pub fn header(&self, name: &str) -> &str {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map_or("", |(_, value)| value.as_str())
     }
 }
 
-fn read_head(reader: &mut BufReader<TcpStream>) -> io::Result<Option<(String, Vec<(String, String)>)>> {
+fn read_head(
+    reader: &mut BufReader<TcpStream>,
+) -> io::Result<Option<(String, Vec<(String, String)>)>> {
     let mut first = String::new();
     if reader.read_line(&mut first)? == 0 {
         return Ok(None);
@@ -268,8 +316,13 @@
     }
 }
 
-fn read_body(reader: &mut BufReader<TcpStream>, headers: &[(String, String)]) -> io::Result<Vec<u8>> {
-    let length = headers.iter().find(|(n, _)| n.eq_ignore_ascii_case("content-length"));
+fn read_body(
+    reader: &mut BufReader<TcpStream>,
+    headers: &[(String, String)],
+) -> io::Result<Vec<u8>> {
+    let length = headers
+        .iter()
+        .find(|(n, _)| n.eq_ignore_ascii_case("content-length"));
     let mut body = vec![0; length.and_then(|(_, v)| v.parse().ok()).unwrap_or(0)];
     reader.read_exact(&mut body)?;
     Ok(body)
@@ -292,13 +345,21 @@
 type Handler = dyn Fn(&Request, &mut TcpStream) -> Next + Send + Sync;
 
 impl Server {
-    pub fn start(handler: impl Fn(&Request, &mut TcpStream) -> Next + Send + Sync + 'static) -> Server {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| give_up(&format!("no free port: {e}")));
+    pub fn start(
+        handler: impl Fn(&Request, &mut TcpStream) -> Next + Send + Sync + 'static,
+    ) -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .unwrap_or_else(|e| give_up(&format!("no free port: {e}")));
         Server::on(listener, handler)
     }
 
-    fn on(listener: TcpListener, handler: impl Fn(&Request, &mut TcpStream) -> Next + Send + Sync + 'static) -> Server {
-        let address = listener.local_addr().unwrap_or_else(|e| give_up(&e.to_string()));
+    fn on(
+        listener: TcpListener,
+        handler: impl Fn(&Request, &mut TcpStream) -> Next + Send + Sync + 'static,
+    ) -> Server {
+        let address = listener
+            .local_addr()
+            .unwrap_or_else(|e| give_up(&e.to_string()));
         let closed = Arc::new(AtomicBool::new(false));
         let (handler, flag): (Arc<Handler>, _) = (Arc::new(handler), closed.clone());
         let _ = listener.set_nonblocking(true);
@@ -334,7 +395,12 @@
         match reader.fill_buf() {
             Ok([]) => return,
             Ok(_) => {}
-            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+            Err(e)
+                if matches!(
+                    e.kind(),
+                    io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut
+                ) =>
+            {
                 if closed.load(Ordering::SeqCst) {
                     return;
                 }
@@ -343,11 +409,23 @@
             Err(_) => return,
         }
         let _ = stream.set_read_timeout(Some(ms(10_000)));
-        let Ok(Some((first, headers))) = read_head(&mut reader) else { return };
-        let Ok(body) = read_body(&mut reader, &headers) else { return };
+        let Ok(Some((first, headers))) = read_head(&mut reader) else {
+            return;
+        };
+        let Ok(body) = read_body(&mut reader, &headers) else {
+            return;
+        };
         let mut words = first.split(' ').map(str::to_owned);
-        let (method, path) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
-        let request = Request { method, path, headers, body };
+        let (method, path) = (
+            words.next().unwrap_or_default(),
+            words.next().unwrap_or_default(),
+        );
+        let request = Request {
+            method,
+            path,
+            headers,
+            body,
+        };
         if let Next::Close = handler(&request, &mut stream) {
             return;
         }
@@ -357,7 +435,10 @@
 
 /// Writes a whole answer.
 pub fn answer(stream: &mut TcpStream, status: &str, headers: &str, body: &str) -> Next {
-    let text = format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len());
+    let text = format!(
+        "HTTP/1.1 {status}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
     match stream.write_all(text.as_bytes()) {
         Ok(()) => Next::Keep,
         Err(_) => Next::Close,
@@ -372,16 +453,29 @@
 
 impl HttpAnswer {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map(|(_, value)| value.as_str())
     }
 }
 
 /// `None` if no connection comes up, or no whole answer within the limit.
-pub fn http_call(address: SocketAddr, method: &str, path: &str, headers: &str, body: &str, limit: Duration) -> Option<HttpAnswer> {
+pub fn http_call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &str,
+    body: &str,
+    limit: Duration,
+) -> Option<HttpAnswer> {
     let mut stream = TcpStream::connect_timeout(&address, ms(1000)).ok()?;
     stream.set_read_timeout(Some(limit)).ok()?;
-    let text = format!("{method} {path} HTTP/1.1\r\nHost: {address}\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len());
+    let text = format!(
+        "{method} {path} HTTP/1.1\r\nHost: {address}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
     stream.write_all(text.as_bytes()).ok()?;
     let mut reader = BufReader::new(stream);
     let (first, headers) = read_head(&mut reader).ok()??;
@@ -408,11 +502,23 @@
 
 impl Entry {
     pub fn up(id: &str, address: SocketAddr, kind: &'static str, cell: u64) -> Entry {
-        Entry { id: id.to_owned(), address, kind, cell, state: "up" }
+        Entry {
+            id: id.to_owned(),
+            address,
+            kind,
+            cell,
+            state: "up",
+        }
     }
 
     fn json(&self) -> String {
-        let Entry { id, address, kind, cell, state } = self;
+        let Entry {
+            id,
+            address,
+            kind,
+            cell,
+            state,
+        } = self;
         format!(
             "{{\"id\":\"{id}\",\"addr\":\"{address}\",\"zone\":\"a\",\"kind\":\"{kind}\",\"cell\":{cell},\"state\":\"{state}\",\"weight\":1.0,\"started_ms\":0}}"
         )
@@ -421,7 +527,10 @@
 
 pub fn list_json(version: u64, full: bool, entries: &[Entry]) -> String {
     let rows: Vec<String> = entries.iter().map(Entry::json).collect();
-    format!("{{\"version\":{version},\"full\":{full},\"servers\":[{}]}}", rows.join(","))
+    format!(
+        "{{\"version\":{version},\"full\":{full},\"servers\":[{}]}}",
+        rows.join(",")
+    )
 }
 
 /// A notice that came to the platform.
@@ -448,7 +557,10 @@
                 let text = String::from_utf8_lossy(&request.body).into_owned();
                 for line in text.lines() {
                     note(format!("{name}: notice {line}"));
-                    lock(&kept).push(Notice { at: Instant::now(), text: line.to_owned() });
+                    lock(&kept).push(Notice {
+                        at: Instant::now(),
+                        text: line.to_owned(),
+                    });
                 }
                 return match stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n") {
                     Ok(()) => Next::Keep,
@@ -463,7 +575,9 @@
             }
             let value = |key: &str| -> Option<u64> {
                 let (_, query) = request.path.split_once('?')?;
-                query.split('&').find_map(|pair| pair.strip_prefix(key)?.strip_prefix('=')?.parse().ok())
+                query
+                    .split('&')
+                    .find_map(|pair| pair.strip_prefix(key)?.strip_prefix('=')?.parse().ok())
             };
             if value("from").is_some_and(|from| from >= version) {
                 // A watch: nothing newer comes while it is held.
@@ -472,13 +586,20 @@
             }
             answer(stream, "200 OK", "", &list_json(version, true, &entries))
         });
-        Platform { server, notices, watches }
+        Platform {
+            server,
+            notices,
+            watches,
+        }
     }
 
     /// When the first notice of this message came.
     pub fn notice_of(&self, id: &str) -> Option<Notice> {
         let notices = lock(&self.notices);
-        notices.iter().find(|notice| notice.text.contains(id)).cloned()
+        notices
+            .iter()
+            .find(|notice| notice.text.contains(id))
+            .cloned()
     }
 }
 
@@ -499,9 +620,19 @@
 }
 
 /// The configuration of one of the two senders of a deployment.
-pub fn config(site: &Site, discovery: SocketAddr, classes: &[Class], version: u64, known: &[Entry]) -> String {
+pub fn config(
+    site: &Site,
+    discovery: SocketAddr,
+    classes: &[Class],
+    version: u64,
+    known: &[Entry],
+) -> String {
     let class = |c: &Class| {
-        let (aim, deadline, window) = (c.aim_ms * 1_000_000, c.deadline_ms * 1_000_000, c.window_ms * 1_000_000);
+        let (aim, deadline, window) = (
+            c.aim_ms * 1_000_000,
+            c.deadline_ms * 1_000_000,
+            c.window_ms * 1_000_000,
+        );
         format!(
             "{{\"name\":\"{}\",\"effect\":\"{}\",\"byArrival\":{},\"aim\":{aim},\"deadline\":{deadline},\"window\":{window},\"dedupScope\":\"all\",\"worth\":1.0,\"lateShare\":0.4}}",
             c.name, c.effect, c.in_order
@@ -551,7 +682,12 @@
 }
 
 /// The variables that the platform gives to a sender.
-pub fn variables(config: &Path, listen: SocketAddr, discovery: SocketAddr, state: &Path) -> BTreeMap<&'static str, String> {
+pub fn variables(
+    config: &Path,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    state: &Path,
+) -> BTreeMap<&'static str, String> {
     let _ = fs::create_dir_all(state);
     BTreeMap::from([
         ("NODE_CONFIG", config.display().to_string()),
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,8 +2,8 @@
 
 mod cut_answer;
 mod deep_folder;
-mod kit;
 mod discovery_moved;
+mod kit;
 mod memory;
 mod push_restart;
 
@@ -11,9 +11,16 @@
 
 fn main() {
     let mut arguments = std::env::args().skip(1);
-    let (case, folder) = (arguments.next().unwrap_or_default(), arguments.next().unwrap_or_default());
+    let (case, folder) = (
+        arguments.next().unwrap_or_default(),
+        arguments.next().unwrap_or_default(),
+    );
     kit::begin(&PathBuf::from(folder));
-    kit::note(if kit::trouble() { "with the disruption" } else { "TROUBLE=0: without the disruption" });
+    kit::note(if kit::trouble() {
+        "with the disruption"
+    } else {
+        "TROUBLE=0: without the disruption"
+    });
     match case.as_str() {
         "push-restart" => push_restart::play(),
         "discovery-moved" => discovery_moved::play(),
--- a/review/standin-2/memory.rs
+++ b/review/standin-2/memory.rs
@@ -22,10 +22,19 @@
 
 /// A command of bad client `client`.
 fn command(client: u64, n: u64, body: &[u8]) -> Vec<u8> {
-    let (id, key) = (hex(client * 1_000_000 + n), hex(client * 1_000_000 + n + 500_000));
+    let (id, key) = (
+        hex(client * 1_000_000 + n),
+        hex(client * 1_000_000 + n + 500_000),
+    );
     let names = format!("c=episode-notice,t=onda-central,d=8000,k={key},dest=7");
     let mut bytes = b"*5\r\n".to_vec();
-    for part in [b"MSG.PUT".as_slice(), b"0000000000000000", id.as_bytes(), names.as_bytes(), body] {
+    for part in [
+        b"MSG.PUT".as_slice(),
+        b"0000000000000000",
+        id.as_bytes(),
+        names.as_bytes(),
+        body,
+    ] {
         bytes.extend_from_slice(format!("${}\r\n", part.len()).as_bytes());
         bytes.extend_from_slice(part);
         bytes.extend_from_slice(b"\r\n");
@@ -34,13 +43,21 @@
 }
 
 fn would_block(e: &io::Error) -> bool {
-    matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut | io::ErrorKind::Interrupted)
+    matches!(
+        e.kind(),
+        io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut | io::ErrorKind::Interrupted
+    )
 }
 
 type Answers = Arc<Mutex<BTreeMap<String, u64>>>;
 
 /// One connection of a bad client: it keeps commands out, reads every answer, and sends again at once.
-fn misbehave(address: SocketAddr, client: u64, stop: &AtomicBool, answers: &Answers) -> io::Result<()> {
+fn misbehave(
+    address: SocketAddr,
+    client: u64,
+    stop: &AtomicBool,
+    answers: &Answers,
+) -> io::Result<()> {
     let mut stream = TcpStream::connect_timeout(&address, ms(1000))?;
     stream.set_nonblocking(true)?;
     let body = vec![b'x'; BODY_BYTES];
@@ -68,7 +85,9 @@
                 let mut answers = lock(answers);
                 for line in text.lines().filter(|line| !line.is_empty()) {
                     answered += 1;
-                    *answers.entry(line.split(' ').next().unwrap_or_default().to_owned()).or_default() += 1;
+                    *answers
+                        .entry(line.split(' ').next().unwrap_or_default().to_owned())
+                        .or_default() += 1;
                 }
             }
             Err(e) if would_block(&e) => {}
@@ -85,7 +104,9 @@
 /// Memory of the process that is its own, in bytes: what is mapped from files does not count.
 fn own_memory(id: u32) -> Option<u64> {
     let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
-    let kilobytes = status.lines().find_map(|line| line.strip_prefix("RssAnon:"))?;
+    let kilobytes = status
+        .lines()
+        .find_map(|line| line.strip_prefix("RssAnon:"))?;
     Some(kilobytes.split_whitespace().next()?.parse::<u64>().ok()? * 1024)
 }
 
@@ -97,10 +118,29 @@
     let entries = vec![Entry::up("s-1", partner.address, "station", 7)];
     let platform = Platform::start("platform", 1, entries.clone());
     let listen = free_address();
-    let class = Class { name: "episode-notice", effect: "keyed", in_order: false, aim_ms: 4000, deadline_ms: 12_000, window_ms: 12_000 };
-    let text = config(&Site::SanjoseCentral, platform.server.address, &[class], 1, &entries);
-    let path = write_config(&text.replace("\"memory_mb\":192", &format!("\"memory_mb\":{MEMORY_MB}")));
-    let variables = variables(&path, listen, platform.server.address, &work_folder().join("state"));
+    let class = Class {
+        name: "episode-notice",
+        effect: "keyed",
+        in_order: false,
+        aim_ms: 4000,
+        deadline_ms: 12_000,
+        window_ms: 12_000,
+    };
+    let text = config(
+        &Site::SanjoseCentral,
+        platform.server.address,
+        &[class],
+        1,
+        &entries,
+    );
+    let path =
+        write_config(&text.replace("\"memory_mb\":192", &format!("\"memory_mb\":{MEMORY_MB}")));
+    let variables = variables(
+        &path,
+        listen,
+        platform.server.address,
+        &work_folder().join("state"),
+    );
     let mut sender = Sender::start("sender-1", "", &variables);
     wait_ready(listen);
     let id = sender.id();
@@ -123,8 +163,17 @@
     while begun.elapsed() < LASTS {
         usual += 1;
         // A usual client, 2.5 messages a second.
-        let names = format!("c=episode-notice,t=onda-central,d=12000,k={},dest=7", hex(usual + 70));
-        put(listen, "0000000000000000", &hex(usual), &names, "a usual body");
+        let names = format!(
+            "c=episode-notice,t=onda-central,d=12000,k={},dest=7",
+            hex(usual + 70)
+        );
+        put(
+            listen,
+            "0000000000000000",
+            &hex(usual),
+            &names,
+            "a usual body",
+        );
         for _ in 0..8 {
             match own_memory(id) {
                 Some(bytes) => most = most.max(bytes),
@@ -132,7 +181,10 @@
             }
             thread::sleep(ms(50));
         }
-        note(format!("memory {:.1} MB, limit {MEMORY_MB} MB", own_memory(id).unwrap_or_default() as f64 / 1e6));
+        note(format!(
+            "memory {:.1} MB, limit {MEMORY_MB} MB",
+            own_memory(id).unwrap_or_default() as f64 / 1e6
+        ));
     }
     stop.store(true, Ordering::SeqCst);
     note(format!("answers to the bad clients: {:?}", lock(&answers)));
@@ -141,7 +193,10 @@
         violations.push(format!("the sender ended with {code:?}"));
     }
     if most > MEMORY_MB * 1_000_000 {
-        violations.push(format!("the sender held {:.1} MB of its own; over {MEMORY_MB} MB it is killed", most as f64 / 1e6));
+        violations.push(format!(
+            "the sender held {:.1} MB of its own; over {MEMORY_MB} MB it is killed",
+            most as f64 / 1e6
+        ));
     }
     finish(&violations)
 }
--- a/review/standin-2/push_restart.rs
+++ b/review/standin-2/push_restart.rs
@@ -33,11 +33,27 @@
 
 fn post(web_push: std::net::SocketAddr, body: &str) -> Told {
     note(format!("application server: POST {body}"));
-    let answer = http_call(web_push, "POST", "/push/subscription-1", "TTL: 60\r\n", body, ms(25_000));
+    let answer = http_call(
+        web_push,
+        "POST",
+        "/push/subscription-1",
+        "TTL: 60\r\n",
+        body,
+        ms(25_000),
+    );
     let status = answer.as_ref().map(|a| a.status);
-    let retry_after = answer.as_ref().and_then(|a| a.header("Retry-After")?.parse().ok());
-    note(format!("application server: {body} answered {status:?}, Retry-After {retry_after:?}"));
-    Told { body: body.to_owned(), at: Instant::now(), status, retry_after }
+    let retry_after = answer
+        .as_ref()
+        .and_then(|a| a.header("Retry-After")?.parse().ok());
+    note(format!(
+        "application server: {body} answered {status:?}, Retry-After {retry_after:?}"
+    ));
+    Told {
+        body: body.to_owned(),
+        at: Instant::now(),
+        status,
+        retry_after,
+    }
 }
 
 pub fn play() {
@@ -47,17 +63,38 @@
     // A push service shows a push when it has come whole. While it is silent, its answers wait for the end of the silence.
     let service = Server::start(move |request, stream| {
         let body = String::from_utf8_lossy(&request.body).into_owned();
-        note(format!("push service: runs {body} ({} {})", request.method, request.path));
-        lock(&seen).push(Run { at: Instant::now(), body: body.clone() });
-        let until = lock(&silence).filter(|until| *until > Instant::now()).unwrap_or_else(|| Instant::now() + USUAL);
+        note(format!(
+            "push service: runs {body} ({} {})",
+            request.method, request.path
+        ));
+        lock(&seen).push(Run {
+            at: Instant::now(),
+            body: body.clone(),
+        });
+        let until = lock(&silence)
+            .filter(|until| *until > Instant::now())
+            .unwrap_or_else(|| Instant::now() + USUAL);
         thread::sleep(until.saturating_duration_since(Instant::now()));
         note(format!("push service: answers 201 to {body}"));
         answer(stream, "201 Created", "Location: /message/1\r\n", "")
     });
     let platform = Platform::start("platform", 1, Vec::new());
     let (listen, web_push) = (free_address(), free_address());
-    let class = Class { name: "episode-notice", effect: "keyed", in_order: false, aim_ms: 4000, deadline_ms: 20_000, window_ms: 20_000 };
-    let config = write_config(&config(&Site::SanjoseCentral, platform.server.address, &[class], 1, &[]));
+    let class = Class {
+        name: "episode-notice",
+        effect: "keyed",
+        in_order: false,
+        aim_ms: 4000,
+        deadline_ms: 20_000,
+        window_ms: 20_000,
+    };
+    let config = write_config(&config(
+        &Site::SanjoseCentral,
+        platform.server.address,
+        &[class],
+        1,
+        &[],
+    ));
     let file = work_folder().join("webpush.toml");
     let text = format!(
         "listen = \"{web_push}\"\n[[upstream]]\nname = \"app-partner\"\n[[upstream.server]]\naddress = \"{}\"\n[[location]]\npath = \"/push/\"\nupstream = \"app-partner\"\nto = \"/wpush/v2/\"\n",
@@ -66,7 +103,12 @@
     if fs::write(&file, text).is_err() {
         give_up("webpush.toml can't be written");
     }
-    let variables = variables(&config, listen, platform.server.address, &work_folder().join("state"));
+    let variables = variables(
+        &config,
+        listen,
+        platform.server.address,
+        &work_folder().join("state"),
+    );
     let arguments = format!("--webpush {}", file.display());
     let mut sender = Sender::start("sender-1", &arguments, &variables);
     wait_ready(listen);
@@ -78,14 +120,22 @@
         *lock(&silent_until) = Some(Instant::now() + SILENT);
         note("push service: silent from now on");
     }
-    let posts: Vec<_> = ["push-b", "push-c", "push-d"].into_iter().map(|body| thread::spawn(move || post(web_push, body))).collect();
-    wait_for("the calls of three pushes", ms(5000), || (lock(&runs).len() >= 4).then_some(()));
+    let posts: Vec<_> = ["push-b", "push-c", "push-d"]
+        .into_iter()
+        .map(|body| thread::spawn(move || post(web_push, body)))
+        .collect();
+    wait_for("the calls of three pushes", ms(5000), || {
+        (lock(&runs).len() >= 4).then_some(())
+    });
     if trouble() {
         sender.signal("TERM");
         let term_at = Instant::now();
         while term_at.elapsed() < KILL_AFTER {
             if let Some(code) = sender.ended() {
-                note(format!("sender-1: ended with {code:?}, {} ms after SIGTERM", term_at.elapsed().as_millis()));
+                note(format!(
+                    "sender-1: ended with {code:?}, {} ms after SIGTERM",
+                    term_at.elapsed().as_millis()
+                ));
                 break;
             }
             thread::sleep(ms(5));
@@ -96,7 +146,10 @@
         sender = Sender::start("sender-2", &arguments, &variables);
         wait_ready(listen);
     }
-    let told: Vec<Told> = posts.into_iter().filter_map(|post| post.join().ok()).collect();
+    let told: Vec<Told> = posts
+        .into_iter()
+        .filter_map(|post| post.join().ok())
+        .collect();
     // 503 says: not taken, come again. An application server does, once the time that it was told has passed. Any other answer,
     // or none, is left as it is.
     let mut again = Vec::new();
