--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -86,6 +86,11 @@
         self.pending.len()
     }
 
+    /// The sum of the sizes of all pending messages' bodies, in bytes.
+    pub(crate) fn pending_body_bytes(&self) -> usize {
+        self.pending.body_bytes()
+    }
+
     /// Number of final reports that the platform has not acknowledged.
     pub(crate) fn report_count(&self) -> usize {
         self.final_reports.len()
--- a/crates/core/src/pending.rs
+++ b/crates/core/src/pending.rs
@@ -31,6 +31,8 @@
     /// Messages submitted in this tick and not answered yet, in the order of submission.
     unacknowledged: BTreeSet<Unacknowledged>,
     last_sequence: u64,
+    /// The sum of the sizes of all bodies.
+    body_bytes: usize,
 }
 
 impl PendingMessages {
@@ -69,7 +71,10 @@
         if let Some(key) = pending.ordering_key() {
             self.submission_order.add(key, id.clone());
         }
-        self.messages.insert(id, pending);
+        self.body_bytes += pending.message.body.len();
+        if let Some(replaced) = self.messages.insert(id, pending) {
+            self.body_bytes -= replaced.message.body.len();
+        }
         sequence
     }
 
@@ -86,6 +91,7 @@
     /// Removes a message that has ended or is cancelled.
     pub(crate) fn remove(&mut self, id: &MessageId) -> Option<PendingMessage> {
         let pending = self.messages.remove(id)?;
+        self.body_bytes -= pending.message.body.len();
         self.unacknowledged.remove(&Unacknowledged {
             sequence: pending.sequence,
             id: id.clone(),
@@ -103,6 +109,11 @@
         self.messages.len()
     }
 
+    /// The sum of the sizes of all bodies, in bytes.
+    pub(crate) fn body_bytes(&self) -> usize {
+        self.body_bytes
+    }
+
     /// Number of attempts in flight.
     pub(crate) fn in_flight(&self) -> usize {
         self.messages
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -125,6 +125,11 @@
         listed.max(self.scheduler.endpoint_table_len())
     }
 
+    /// The sum of the sizes of all pending messages' bodies, in bytes.
+    pub fn pending_body_bytes(&self) -> usize {
+        self.messages.pending_body_bytes()
+    }
+
     /// Number of attempts in flight.
     pub fn in_flight_count(&self) -> usize {
         self.messages.in_flight_count()
--- a/crates/daemon/src/client_ingress.rs
+++ b/crates/daemon/src/client_ingress.rs
@@ -10,10 +10,11 @@
 use std::time::Duration;
 
 use cranehill_core::mutation::{self, Mutation};
-use cranehill_core::{Core, Message};
+use cranehill_core::{Answer, Core, Message};
 use cranehill_scheduler::Time;
 
-use crate::connection::{Connection, ConnectionKind};
+use crate::client_memory::{ClientMemory, ROOM_TIMEOUT, Room};
+use crate::connection::{Connection, ConnectionKind, MAX_HTTP_MESSAGE_BYTES};
 use crate::connection_table::ConnectionTable;
 use crate::journal_writer::JournalWriter;
 use crate::platform_settings::PlatformSettings;
@@ -39,11 +40,9 @@
 const LINGER: Duration = Duration::from_millis(500);
 /// A connection is closed after this many invalid requests.
 const MAX_REQUEST_ERRORS: u32 = 16;
-/// Only an incomplete request larger than this can be closed because of [`UNREAD_MEMORY_DIVISOR`].
-const LARGE_REQUEST_BYTES: usize = 8 * 1024;
-/// Incomplete requests of all clients may use this fraction of the process's memory, as a divisor.
-const UNREAD_MEMORY_DIVISOR: usize = 8;
-/// Minimum interval between two log lines about evicted connections, or about rejected messages.
+/// The bodies of pending messages may use this fraction of the process's memory, as a divisor.
+const PENDING_MEMORY_DIVISOR: usize = 4;
+/// Minimum interval between two log lines about evicted connections, rejected messages, or requests without room.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The result of processing a client's next request.
@@ -52,14 +51,14 @@
     Waiting,
     /// The request was answered; another one may be buffered.
     Answered,
+    /// More of the request was received; it may be complete now.
+    MoreReceived,
     /// The request submits this message, which is not answered yet.
     Submitted(Message),
     /// The client that waited for this message's result has disconnected.
     Cancelled(String),
     /// The caller closes the connection.
     Close,
-    /// The caller closes the connection with an error: its incomplete request would exceed the memory limit.
-    TimedOut,
 }
 
 /// What the decision to accept a message depends on.
@@ -75,10 +74,12 @@
 /// The limits for all clients together.
 pub(crate) struct ClientIngress {
     max_connections: usize,
-    /// Limit on the buffers of all clients' incomplete requests, in bytes.
-    max_unread_bytes: usize,
+    memory: ClientMemory,
+    /// Limit on the bodies of all pending messages, in bytes.
+    max_pending_bytes: usize,
     evictions: ThrottledLog,
     rejections: ThrottledLog,
+    without_room: ThrottledLog,
 }
 
 impl ClientIngress {
@@ -86,9 +87,11 @@
     pub(crate) fn new(max_connections: usize, memory: usize, now: Time) -> ClientIngress {
         ClientIngress {
             max_connections,
-            max_unread_bytes: memory / UNREAD_MEMORY_DIVISOR,
+            memory: ClientMemory::new(memory, MAX_HTTP_MESSAGE_BYTES),
+            max_pending_bytes: memory / PENDING_MEMORY_DIVISOR,
             evictions: ThrottledLog::new(LOG_INTERVAL, now),
             rejections: ThrottledLog::new(LOG_INTERVAL, now),
+            without_room: ThrottledLog::new(LOG_INTERVAL, now),
         }
     }
 
@@ -97,6 +100,24 @@
         connections.count(Connection::is_client) < self.max_connections
     }
 
+    /// Whether the body of a further message is within the limit on the bodies of pending messages.
+    fn has_room_for_body(&self, core: &Core, bytes: usize) -> bool {
+        core.pending_body_bytes() + bytes <= self.max_pending_bytes
+    }
+
+    /// The rejection of a request for which there is no room in memory.
+    fn reject_for_memory(&mut self, core: &Core, now: Time) -> Answer {
+        if let Some(rejected) = self.without_room.record(now) {
+            let (requests, limit) = (self.memory.reserved_bytes(), self.memory.limit());
+            let (pending, pending_limit) = (core.pending_body_bytes(), self.max_pending_bytes);
+            log::warn!(event = "client-memory", rejected, requests, limit, pending, pending_limit;
+                "client: {rejected} requests rejected for want of memory; large requests use {requests} of {limit} bytes, pending messages {pending} of {pending_limit}");
+        }
+        Answer::Rejected {
+            retry_after: Some(ROOM_TIMEOUT),
+        }
+    }
+
     /// Logs that a connection is closed, or not accepted, because of the limit.
     pub(crate) fn record_eviction(&mut self, now: Time) {
         if let Some(evicted) = self.evictions.record(now) {
@@ -105,25 +126,97 @@
         }
     }
 
-    /// Limits the memory used by clients that each leave a large request incomplete.
-    fn on_incomplete(&self, connections: &ConnectionTable, id: usize) -> Progress {
-        let is_large = connections
-            .get(id)
-            .is_some_and(|connection| connection.input.len() > LARGE_REQUEST_BYTES);
-        if !is_large || unread_bytes(connections) <= self.max_unread_bytes {
+    /// Reads more of a request that needs at least `needed` bytes, once there is room for it.
+    fn on_incomplete(
+        &mut self,
+        connections: &mut ConnectionTable,
+        id: usize,
+        needed: usize,
+        now: Time,
+    ) -> Progress {
+        let Some(connection) = connections.get_mut(id) else {
             return Progress::Waiting;
+        };
+        if connection.ended || needed > MAX_HTTP_MESSAGE_BYTES {
+            return Progress::Close;
+        }
+        let held = connection.input.len();
+        while !connection.allowance.raise(held, needed) {
+            match self.memory.request(id, &mut connection.allowance, now) {
+                Room::Granted => {}
+                Room::Waiting => {
+                    self.limit_queue(connections);
+                    return Progress::Waiting;
+                }
+            }
+        }
+        if connection.receive(now) || connection.ended {
+            Progress::MoreReceived
+        } else {
+            Progress::Waiting
         }
-        log::info!("client: incomplete requests use too much memory; closing connection {id}");
-        Progress::TimedOut
     }
-}
 
-fn unread_bytes(connections: &ConnectionTable) -> usize {
-    connections
-        .values()
-        .filter(|connection| connection.is_client())
-        .map(|connection| connection.input.capacity())
-        .sum()
+    /// Removes ended connections from the queue for room, so that it is no longer than the number of connections.
+    fn limit_queue(&mut self, connections: &ConnectionTable) {
+        if self.memory.queue_length() > self.max_connections {
+            let is_waiting = |id| {
+                connections
+                    .get(id)
+                    .is_some_and(|connection| connection.allowance.is_waiting())
+            };
+            self.memory.retain_waiting(is_waiting);
+        }
+    }
+
+    /// Gives room to the connections that have waited longest, as far as there is room, and resumes them.
+    pub(crate) fn grant_room(&mut self, connections: &mut ConnectionTable, now: Time) {
+        while let Some(id) = self.memory.next() {
+            let connection = connections.get_mut(id);
+            if let Some(connection) = connection.filter(|c| c.allowance.is_waiting()) {
+                self.memory.grant(&mut connection.allowance, now);
+                connections.resume(id);
+            }
+        }
+    }
+
+    /// Counts the input that another process has read on this connection.
+    pub(crate) fn adopt_input(&mut self, connection: &mut Connection, now: Time) {
+        let held = connection.input.len();
+        self.memory.adopt(&mut connection.allowance, held, now);
+    }
+
+    /// Ends the wait of a connection that has waited for room for [`ROOM_TIMEOUT`], by rejecting a request: one that has held room for
+    /// as long and is still incomplete, or else the waiting one. Returns its connection, which the caller closes.
+    pub(crate) fn on_room_timeout(
+        &mut self,
+        connections: &mut ConnectionTable,
+        id: usize,
+        core: &Core,
+        now: Time,
+    ) -> usize {
+        let holder = connections
+            .iter()
+            .filter(|(_, connection)| connection.is_reading_request())
+            .filter_map(|(id, connection)| Some((connection.allowance.reserved_since()?, id)))
+            .min()
+            .filter(|(since, _)| now - *since >= ROOM_TIMEOUT);
+        if let Some(connection) = connections.get_mut(id).filter(|_| holder.is_some()) {
+            connection.allowance.wait_on(now);
+        }
+        let rejected = holder.map_or(id, |(_, holder)| holder);
+        let answer = self.reject_for_memory(core, now);
+        let is_resp = connections
+            .get(rejected)
+            .is_some_and(|c| matches!(c.kind, ConnectionKind::Client { .. }));
+        let bytes = if is_resp {
+            client_protocol::write_answer(answer)
+        } else {
+            webpush::write_answer(answer, "")
+        };
+        connections.send(rejected, &bytes, now);
+        rejected
+    }
 }
 
 /// When the connection times out; `None` while the client waits for this sender.
@@ -144,7 +237,9 @@
     } else {
         IDLE_TIMEOUT
     };
-    Some(connection.waiting_since + timeout)
+    let deadline = connection.waiting_since + timeout;
+    let room_deadline = connection.allowance.deadline();
+    Some(room_deadline.map_or(deadline, |room| room.min(deadline)))
 }
 
 /// The idle connection that is evicted first: see [`eviction_rank`].
@@ -240,26 +335,10 @@
     connection.kind = ConnectionKind::Closing {
         deadline: now + LINGER,
     };
+    connection.clear_input();
     true
 }
 
-/// Discards the input of a half-closed connection.
-pub(crate) fn discard_input(connections: &mut ConnectionTable, id: usize) {
-    let Some(connection) = connections.get_mut(id) else {
-        return;
-    };
-    if connection.ended {
-        connections.close(id);
-        return;
-    }
-    let was_full = connection.input.len() >= connection.max_input_bytes();
-    connection.input = Vec::new();
-    // The poll is edge-triggered: it reports no further event for bytes that did not fit into the buffer.
-    if was_full {
-        connections.resume(id);
-    }
-}
-
 /// Reads again after a request was removed from the buffer: bytes that did not fit may wait in the socket.
 pub(crate) fn refill(connections: &mut ConnectionTable, id: usize) {
     if let Some(connection) = connections.get_mut(id) {
@@ -271,7 +350,7 @@
 fn reject_malformed(connections: &mut ConnectionTable, id: usize, answer: &[u8], now: Time) {
     if let Some(connection) = connections.get_mut(id) {
         connection.close_after_write = true;
-        connection.input.clear();
+        connection.clear_input();
     }
     connections.send(id, answer, now);
 }
@@ -285,3 +364,6 @@
     }
     connections.send(id, answer, now);
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/daemon/src/client_ingress/resp.rs
+++ b/crates/daemon/src/client_ingress/resp.rs
@@ -9,17 +9,18 @@
 use crate::client_protocol::{self, MAX_REQUEST_BYTES, MessageError, Request};
 use crate::connection::{Connection, ConnectionKind};
 use crate::connection_table::ConnectionTable;
+use crate::framing::Framed;
 
-/// How often [`reject_buffered`] reads again, each time up to [`MAX_REQUEST_BYTES`]. It limits the time spent on a client that never
-/// pauses.
-const MAX_REJECTION_ROUNDS: usize = 16;
+/// How much [`reject_buffered`] reads of a client that never pauses.
+const MAX_REJECTED_BYTES: usize = 16 * MAX_REQUEST_BYTES;
 /// The answer to `PING` when the process is about to end.
 const SHUTTING_DOWN: &str = "shutting down";
 
 /// Reads what has arrived on a connection, and answers every complete request: messages with a rejection, since they would not be
 /// sent any more. Returns whether the connection can be closed now; otherwise an earlier request or answer is still in progress.
 pub(crate) fn reject_buffered(connections: &mut ConnectionTable, id: usize, now: Time) -> bool {
-    for _ in 0..MAX_REJECTION_ROUNDS {
+    let mut rejected_bytes = 0;
+    while rejected_bytes < MAX_REJECTED_BYTES {
         let Some(connection) = connections.get_mut(id) else {
             return false;
         };
@@ -29,24 +30,27 @@
             return false;
         }
         connection.fill();
-        let answers = take_rejections(connection);
+        let (answers, length) = take_rejections(connection);
         if answers.is_empty() {
             return true;
         }
+        rejected_bytes += length;
         connections.send(id, &answers, now);
     }
     true
 }
 
-/// Removes all complete requests from a connection's input, and returns the answers that reject them.
-fn take_rejections(connection: &mut Connection) -> Vec<u8> {
+/// Removes all complete requests from a connection's input; a large one is read to its end first. Returns the answers that reject them,
+/// and their length in bytes.
+fn take_rejections(connection: &mut Connection) -> (Vec<u8>, usize) {
     let rejection = Answer::Rejected { retry_after: None };
-    let mut answers = Vec::new();
+    let (mut answers, mut rejected_bytes) = (Vec::new(), 0);
     while !connection.close_after_write {
-        let answer = match client_protocol::parse(&connection.input) {
-            Ok(Some((request, length))) => {
+        let answer = match client_protocol::frame(&connection.input) {
+            Ok(Framed::Complete { message, length }) => {
                 connection.consume(length);
-                match request {
+                rejected_bytes += length;
+                match message {
                     Request::Put { .. } => client_protocol::write_answer(rejection),
                     Request::Ping => client_protocol::write_error(SHUTTING_DOWN),
                     Request::Quit => {
@@ -56,16 +60,24 @@
                     Request::Unknown(why) => client_protocol::write_error(why),
                 }
             }
-            Ok(None) => break,
+            Ok(Framed::Incomplete { needed }) => {
+                let held = connection.input.len();
+                connection.allowance.lift(held, needed);
+                connection.fill();
+                if connection.input.len() == held {
+                    break;
+                }
+                continue;
+            }
             Err(client_protocol::ProtocolError(why)) => {
                 connection.close_after_write = true;
-                connection.input.clear();
+                connection.clear_input();
                 client_protocol::write_error(why)
             }
         };
         answers.extend_from_slice(&answer);
     }
-    answers
+    (answers, rejected_bytes)
 }
 
 impl ClientIngress {
@@ -87,16 +99,15 @@
         if connection.close_after_write {
             return Progress::Close;
         }
-        match client_protocol::parse(&connection.input) {
-            Ok(Some((request, length))) => {
+        match client_protocol::frame(&connection.input) {
+            Ok(Framed::Complete { message, length }) => {
                 connection.consume(length);
                 connection.request_received = true;
-                self.on_request(connections, id, request, admission)
+                self.on_request(connections, id, message, admission)
             }
-            Ok(None) if connection.ended || connection.input.len() >= MAX_REQUEST_BYTES => {
-                Progress::Close
+            Ok(Framed::Incomplete { needed }) => {
+                self.on_incomplete(connections, id, needed, admission.now)
             }
-            Ok(None) => self.on_incomplete(connections, id),
             Err(client_protocol::ProtocolError(why)) => {
                 log::debug!("client: {why}");
                 let answer = client_protocol::write_error(why);
@@ -173,6 +184,13 @@
                 .ok_or(MessageError::UnknownDestination)
         });
         match (known, room) {
+            (Ok(message), Ok(()))
+                if !self.has_room_for_body(admission.core, message.body.len()) =>
+            {
+                let rejection = self.reject_for_memory(admission.core, admission.now);
+                let answer = client_protocol::write_answer(rejection);
+                connections.send(id, &answer, admission.now);
+            }
             (Ok(message), Ok(())) => {
                 log::trace!(
                     "message {}: submitted on connection {id}, {:?} remaining",
--- a/crates/daemon/src/client_ingress/web_push.rs
+++ b/crates/daemon/src/client_ingress/web_push.rs
@@ -1,12 +1,10 @@
 //! Web Push requests of application servers over HTTP.
 
-use cranehill_scheduler::Time;
-
-use super::{ClientIngress, Progress, reject_malformed, reject_request};
-use crate::connection::{Connection, ConnectionKind, MAX_HTTP_MESSAGE_BYTES};
+use super::{Admission, ClientIngress, Progress, reject_malformed, reject_request};
+use crate::connection::{Connection, ConnectionKind};
 use crate::connection_table::ConnectionTable;
+use crate::framing::Framed;
 use crate::http::{self, Request};
-use crate::platform_settings::PlatformSettings;
 use crate::webpush::{self, WebPushGateway};
 
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
@@ -14,13 +12,13 @@
 impl ClientIngress {
     /// Processes the next request in the connection's input.
     pub(crate) fn serve_web_push(
-        &self,
+        &mut self,
         connections: &mut ConnectionTable,
         id: usize,
         gateway: Option<&mut WebPushGateway>,
-        platform_settings: &PlatformSettings,
-        now: Time,
+        admission: &Admission<'_>,
     ) -> Progress {
+        let now = admission.now;
         let Some(connection) = connections.get_mut(id) else {
             return Progress::Waiting;
         };
@@ -42,20 +40,17 @@
         if connection.close_after_write {
             return Progress::Close;
         }
-        match http::request(&connection.input) {
-            Ok(Some((request, length))) => {
+        match http::frame_request(&connection.input) {
+            Ok(Framed::Complete { message, length }) => {
                 connection.consume(length);
                 connection.request_received = true;
-                submit(connections, id, request, gateway, platform_settings, now)
-            }
-            Ok(None) if connection.ended || connection.input.len() >= MAX_HTTP_MESSAGE_BYTES => {
-                Progress::Close
+                self.on_post(connections, id, message, gateway, admission)
             }
-            Ok(None) => {
+            Ok(Framed::Incomplete { needed }) => {
                 if expects_continue(connection) {
                     connections.send(id, CONTINUE, now);
                 }
-                self.on_incomplete(connections, id)
+                self.on_incomplete(connections, id, needed, now)
             }
             Err(malformed) => {
                 let status = if malformed == http::TOO_LARGE {
@@ -69,6 +64,48 @@
             }
         }
     }
+
+    /// Converts a request to a message for the caller to submit, or answers it with an error.
+    fn on_post(
+        &mut self,
+        connections: &mut ConnectionTable,
+        id: usize,
+        request: Request,
+        gateway: Option<&mut WebPushGateway>,
+        admission: &Admission<'_>,
+    ) -> Progress {
+        // Without Web Push there is no listener for such clients.
+        let Some(gateway) = gateway else {
+            return Progress::Waiting;
+        };
+        let now = admission.now;
+        let close = request.close;
+        let has_room = self.has_room_for_body(admission.core, request.body.len());
+        let accepted = gateway.accept(request, id, admission.platform_settings, now);
+        let Some(connection) = connections.get_mut(id) else {
+            return Progress::Waiting;
+        };
+        match accepted {
+            Ok(message) if has_room => {
+                connection.kind = ConnectionKind::WebPushClient {
+                    pending: Some(message.id.clone()),
+                    close,
+                };
+                return Progress::Submitted(message);
+            }
+            Ok(_) => {
+                connection.close_after_write |= close;
+                let rejection = self.reject_for_memory(admission.core, now);
+                connections.send(id, &webpush::write_answer(rejection, ""), now);
+            }
+            Err(rejection) => {
+                connection.close_after_write |= close;
+                let answer = webpush::write_error(rejection.status, rejection.reason);
+                reject_request(connections, id, &answer, now);
+            }
+        }
+        Progress::Answered
+    }
 }
 
 /// Removes the complete requests from a connection's input and ends the one in progress; returns how many answers the client still
@@ -88,41 +125,6 @@
     unanswered
 }
 
-/// Converts a request to a message for the caller to submit, or answers it with an error.
-fn submit(
-    connections: &mut ConnectionTable,
-    id: usize,
-    request: Request,
-    gateway: Option<&mut WebPushGateway>,
-    platform_settings: &PlatformSettings,
-    now: Time,
-) -> Progress {
-    let close_requested = request.close;
-    // Without Web Push there is no listener for such clients.
-    let Some(gateway) = gateway else {
-        return Progress::Waiting;
-    };
-    match gateway.accept(request, id, platform_settings, now) {
-        Ok(message) => {
-            if let Some(connection) = connections.get_mut(id) {
-                connection.kind = ConnectionKind::WebPushClient {
-                    pending: Some(message.id.clone()),
-                    close: close_requested,
-                };
-            }
-            Progress::Submitted(message)
-        }
-        Err(rejection) => {
-            if let Some(connection) = connections.get_mut(id) {
-                connection.close_after_write |= close_requested;
-            }
-            let answer = webpush::write_error(rejection.status, rejection.reason);
-            reject_request(connections, id, &answer, now);
-            Progress::Answered
-        }
-    }
-}
-
 /// Whether the client waits for `100 Continue` before it sends the body (RFC 9110, section 10.1.1).
 fn expects_continue(connection: &Connection) -> bool {
     let head = String::from_utf8_lossy(&connection.input).to_ascii_lowercase();
--- a/crates/daemon/src/client_protocol.rs
+++ b/crates/daemon/src/client_protocol.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::config::PlatformSettings;
+use crate::framing::Framed;
 use cranehill_core::{Answer, Message, Origin};
 
 /// Limit of one argument. Only a message's body comes near it.
@@ -125,31 +126,46 @@
 /// # Errors
 /// The bytes are not the beginning of a valid RESP array within the limits.
 pub fn parse(bytes: &[u8]) -> Result<Option<(Request, usize)>, ProtocolError> {
+    frame(bytes).map(Framed::complete)
+}
+
+/// The request at the beginning of `bytes`.
+///
+/// # Errors
+/// As [`parse`].
+pub fn frame(bytes: &[u8]) -> Result<Framed<Request>, ProtocolError> {
+    let line_needed = Framed::Incomplete {
+        needed: bytes.len() + 1,
+    };
     let Some((head, mut at)) = read_line(bytes, 0)? else {
-        return Ok(None);
+        return Ok(line_needed);
     };
     let arguments = parse_length(head, b'*', MAX_ARGUMENTS)?;
     let mut parts: Vec<&[u8]> = Vec::with_capacity(arguments);
     let mut total = 0;
     for _ in 0..arguments {
         let Some((head, next)) = read_line(bytes, at)? else {
-            return Ok(None);
+            return Ok(line_needed);
         };
         let len = parse_length(head, b'$', MAX_ARGUMENT_BYTES)?;
         total += len;
         if total > MAX_COMMAND_BYTES {
             return Err(ProtocolError("the request is too large"));
         }
-        let Some(argument) = bytes.get(next..next + len + 2) else {
-            return Ok(None);
+        let end = next + len + 2;
+        let Some(argument) = bytes.get(next..end) else {
+            return Ok(Framed::Incomplete { needed: end });
         };
         if &argument[len..] != b"\r\n" {
             return Err(ProtocolError("a bulk string must end in CR LF"));
         }
         parts.push(&argument[..len]);
-        at = next + len + 2;
+        at = end;
     }
-    Ok(Some((parse_command(&parts), at)))
+    Ok(Framed::Complete {
+        message: parse_command(&parts),
+        length: at,
+    })
 }
 
 fn parse_command(parts: &[&[u8]]) -> Request {
--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -9,6 +9,7 @@
 use cranehill_scheduler::api::EndpointId;
 use mio::net::TcpStream;
 
+use crate::client_memory::{InputAllowance, SMALL_INPUT_BYTES};
 use crate::{client_protocol, http};
 
 /// Allowance for the head of an HTTP message and the framing of chunks, in addition to the body.
@@ -17,8 +18,10 @@
 pub(crate) const MAX_HTTP_MESSAGE_BYTES: usize = http::MAX_BODY_BYTES + MAX_FRAMING_BYTES;
 /// Bytes read by one system call.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
-/// An empty buffer with a larger capacity is freed, since hundreds of connections each have one.
+/// Capacity up to which an empty buffer is kept.
 const MAX_IDLE_BUFFER_BYTES: usize = 4096;
+/// Bytes of a half-closed connection that are read and discarded at once.
+const MAX_DISCARDED_BYTES: usize = 8 * READ_CHUNK_BYTES;
 /// A response that has begun counts as stalled when nothing arrives for this long.
 const MAX_RESPONSE_PAUSE: Duration = Duration::from_millis(400);
 
@@ -121,12 +124,22 @@
     }
 }
 
+/// Empties a buffer. A large one is freed, since hundreds of idle connections each have one.
+fn clear_buffer(buffer: &mut Vec<u8>) {
+    buffer.clear();
+    if buffer.capacity() > MAX_IDLE_BUFFER_BYTES {
+        *buffer = Vec::new();
+    }
+}
+
 /// A connection with its buffers and timestamps.
 pub(crate) struct Connection {
     pub(crate) stream: TcpStream,
     pub(crate) kind: ConnectionKind,
     /// Bytes received and not yet parsed.
     pub(crate) input: Vec<u8>,
+    /// Clients only: how much input the connection may hold.
+    pub(crate) allowance: InputAllowance,
     /// Bytes to send, of which the first `written` are sent.
     pub(crate) output: Vec<u8>,
     pub(crate) written: usize,
@@ -163,6 +176,7 @@
             stream,
             kind,
             input: Vec::new(),
+            allowance: InputAllowance::default(),
             output: Vec::new(),
             written: 0,
             established,
@@ -181,7 +195,9 @@
     /// Limit of the input buffer.
     pub(crate) fn max_input_bytes(&self) -> usize {
         match self.kind {
-            ConnectionKind::Client { .. } => client_protocol::MAX_REQUEST_BYTES,
+            ConnectionKind::Client { .. } | ConnectionKind::WebPushClient { .. } => {
+                self.allowance.limit()
+            }
             ConnectionKind::Discovery { max_body_bytes } => max_body_bytes + MAX_FRAMING_BYTES,
             _ => MAX_HTTP_MESSAGE_BYTES,
         }
@@ -190,15 +206,52 @@
     /// Reads what has arrived, up to [`Connection::max_input_bytes`].
     pub(crate) fn fill(&mut self) {
         let mut chunk = [0u8; READ_CHUNK_BYTES];
-        while !self.ended && self.input.len() < self.max_input_bytes() {
-            match self.stream.read(&mut chunk) {
+        let limit = self.max_input_bytes();
+        while self.input.len() < limit {
+            let room = chunk.len().min(limit - self.input.len());
+            let Some(received) = self.read(&mut chunk[..room]) else {
+                return;
+            };
+            self.reserve_input(received, limit);
+            self.input.extend_from_slice(&chunk[..received]);
+        }
+    }
+
+    /// Reads and discards what has arrived; returns whether more may be there.
+    pub(crate) fn discard(&mut self) -> bool {
+        let mut chunk = [0u8; READ_CHUNK_BYTES];
+        let mut discarded = 0;
+        while discarded < MAX_DISCARDED_BYTES {
+            let Some(received) = self.read(&mut chunk) else {
+                return false;
+            };
+            discarded += received;
+        }
+        true
+    }
+
+    /// Reads once; `None` if nothing has arrived or the connection has ended.
+    fn read(&mut self, buffer: &mut [u8]) -> Option<usize> {
+        while !self.ended {
+            match self.stream.read(buffer) {
                 Ok(0) => self.ended = true,
-                Ok(n) => self.input.extend_from_slice(&chunk[..n]),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Ok(received) => return Some(received),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return None,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(_) => self.ended = true,
             }
         }
+        None
+    }
+
+    /// Reserves memory for `received` further bytes: for a client's request at once as much as it may use, since growth by steps would
+    /// leave the freed smaller buffers of many clients behind in the heap.
+    fn reserve_input(&mut self, received: usize, limit: usize) {
+        if self.is_client() {
+            self.input.reserve_exact(limit - self.input.len());
+        } else {
+            self.input.reserve(received);
+        }
     }
 
     /// Sends as much output as the socket accepts; false if the connection failed.
@@ -220,16 +273,29 @@
     }
 
     pub(crate) fn clear_output(&mut self) {
-        self.output.clear();
+        clear_buffer(&mut self.output);
         self.written = 0;
     }
 
-    /// Removes the first `parsed` bytes of the input.
+    /// Discards a response that has been parsed.
+    pub(crate) fn clear_response(&mut self) {
+        clear_buffer(&mut self.input);
+    }
+
+    /// Removes the first `parsed` bytes of a client's input, and gives back memory that the rest does not need.
     pub(crate) fn consume(&mut self, parsed: usize) {
         self.input.drain(..parsed);
-        if self.input.is_empty() && self.input.capacity() > MAX_IDLE_BUFFER_BYTES {
-            self.input = Vec::new();
+        let held = self.input.len();
+        if held <= SMALL_INPUT_BYTES && self.input.capacity() > SMALL_INPUT_BYTES {
+            // Shrinking the buffer in place would split the heap into pieces too small for the next large request.
+            self.input = self.input.to_vec();
         }
+        self.allowance.lower(held);
+    }
+
+    /// Discards a client's input.
+    pub(crate) fn clear_input(&mut self) {
+        self.consume(self.input.len());
     }
 
     /// Whether the connection is established.
@@ -253,8 +319,19 @@
         }
     }
 
+    /// Reads what has arrived, and updates the timestamps; returns whether anything has.
+    pub(crate) fn receive(&mut self, now: Time) -> bool {
+        let held = self.input.len();
+        self.fill();
+        let received = self.input.len() > held;
+        if received {
+            self.on_received(held == 0, now);
+        }
+        received
+    }
+
     /// Updates the timestamps after bytes were received; `first` if the input was empty before.
-    pub(crate) fn on_received(&mut self, first: bool, now: Time) {
+    fn on_received(&mut self, first: bool, now: Time) {
         // The watch's timeout counts from its request.
         if !matches!(self.kind, ConnectionKind::Discovery { .. }) {
             self.last_used = now;
@@ -282,7 +359,16 @@
                 | ConnectionKind::WebPushClient { pending: None, .. }
                 | ConnectionKind::Closing { .. }
         );
-        waits && self.is_written() && !self.has_buffered_request()
+        waits && self.is_written() && !self.has_buffered_request() && !self.allowance.is_waiting()
+    }
+
+    /// Whether the next request of a client is being read: none before it is in progress.
+    pub(crate) fn is_reading_request(&self) -> bool {
+        matches!(
+            self.kind,
+            ConnectionKind::Client { busy: false }
+                | ConnectionKind::WebPushClient { pending: None, .. }
+        )
     }
 
     /// Whether a request of a client has been received completely and is not answered.
--- a/crates/daemon/src/connection_table.rs
+++ b/crates/daemon/src/connection_table.rs
@@ -198,10 +198,12 @@
         if had_output && connection.is_written() && connection.is_destination() {
             log::trace!("connection {id}: the call is written completely");
         }
-        let unparsed = connection.input.len();
-        connection.fill();
-        if connection.input.len() > unparsed {
-            connection.on_received(unparsed == 0, clock.now());
+        if matches!(connection.kind, ConnectionKind::Closing { .. }) {
+            if connection.discard() {
+                self.resume(id);
+            }
+        } else {
+            connection.receive(clock.now());
         }
         Transfer::Done {
             write_failed: !flushed,
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::framing::Framed;
+
 /// Limit of the body of a request, and of most responses.
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
 /// Limit of a message's head, and of its trailers.
@@ -116,11 +118,11 @@
     }
 }
 
-/// Decodes a chunked body: its content, and the length of its encoding; `None` if it is incomplete.
-fn parse_chunked_body(
-    bytes: &[u8],
-    max_body_bytes: usize,
-) -> Result<Option<(Vec<u8>, usize)>, Malformed> {
+/// Decodes a chunked body; the length is that of its encoding.
+fn parse_chunked_body(bytes: &[u8], max_body_bytes: usize) -> Result<Framed<Vec<u8>>, Malformed> {
+    let line_needed = Framed::Incomplete {
+        needed: bytes.len() + 1,
+    };
     let (mut body, mut at) = (Vec::new(), 0);
     loop {
         let rest = &bytes[at..];
@@ -129,7 +131,7 @@
             return if rest.len() > MAX_CHUNK_LINE_BYTES {
                 Err(Malformed("chunk size"))
             } else {
-                Ok(None)
+                Ok(line_needed)
             };
         };
         let size = usize::try_from(size).unwrap_or(usize::MAX);
@@ -141,38 +143,50 @@
             // Trailers are skipped.
             let trailers = &bytes[at..];
             if trailers.starts_with(b"\r\n") {
-                return Ok(Some((body, at + 2)));
+                return Ok(Framed::Complete {
+                    message: body,
+                    length: at + 2,
+                });
             }
             if trailers.len() > MAX_HEAD_BYTES {
                 return Err(Malformed("trailers too large"));
             }
-            return Ok(trailers
-                .windows(4)
-                .position(|w| w == b"\r\n\r\n")
-                .map(|p| (body, at + p + 4)));
+            let end = trailers.windows(4).position(|w| w == b"\r\n\r\n");
+            return Ok(end.map_or(line_needed, |end| Framed::Complete {
+                message: body,
+                length: at + end + 4,
+            }));
         }
-        let Some(chunk) = bytes.get(at..at + size + 2) else {
-            return Ok(None);
+        let end = at + size + 2;
+        let Some(chunk) = bytes.get(at..end) else {
+            return Ok(Framed::Incomplete { needed: end });
         };
         if !chunk.ends_with(b"\r\n") {
             return Err(Malformed("chunk end"));
         }
         body.extend_from_slice(&chunk[..size]);
-        at += size + 2;
+        at = end;
     }
 }
 
-/// The body and the length of its encoding; `None` if it is incomplete.
+/// The body; the length is that of its encoding.
 fn parse_body(
     bytes: &[u8],
     length: BodyLength,
     max_body_bytes: usize,
-) -> Result<Option<(Vec<u8>, usize)>, Malformed> {
-    match length {
-        BodyLength::Known(len) => Ok(bytes.get(..len).map(|b| (b.to_vec(), len))),
-        BodyLength::Chunked => parse_chunked_body(bytes, max_body_bytes),
-        BodyLength::Unspecified => Ok(Some((Vec::new(), 0))),
-    }
+) -> Result<Framed<Vec<u8>>, Malformed> {
+    let length = match length {
+        BodyLength::Known(length) => length,
+        BodyLength::Chunked => return parse_chunked_body(bytes, max_body_bytes),
+        BodyLength::Unspecified => 0,
+    };
+    Ok(match bytes.get(..length) {
+        Some(body) => Framed::Complete {
+            message: body.to_vec(),
+            length,
+        },
+        None => Framed::Incomplete { needed: length },
+    })
 }
 
 /// Parses the first request in `bytes`: the request and its length in bytes, or `None` if it is incomplete.
@@ -180,6 +194,14 @@
 /// # Errors
 /// The bytes are not the beginning of a valid request within the limits.
 pub fn request(bytes: &[u8]) -> Result<Option<(Request, usize)>, Malformed> {
+    frame_request(bytes).map(Framed::complete)
+}
+
+/// The request at the beginning of `bytes`.
+///
+/// # Errors
+/// As [`request`].
+pub fn frame_request(bytes: &[u8]) -> Result<Framed<Request>, Malformed> {
     let mut slots = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Request::new(&mut slots);
     let head = match parsed.parse(bytes).map_err(|_| Malformed("request head"))? {
@@ -187,7 +209,11 @@
         httparse::Status::Partial if bytes.len() > MAX_HEAD_BYTES => {
             return Err(Malformed("head too large"));
         }
-        httparse::Status::Partial => return Ok(None),
+        httparse::Status::Partial => {
+            return Ok(Framed::Incomplete {
+                needed: bytes.len() + 1,
+            });
+        }
     };
     let headers = owned_headers(parsed.headers);
     let is_http_1_0 = parsed.version == Some(0);
@@ -197,19 +223,21 @@
         parsed.path.unwrap_or("").to_owned(),
     );
     let length = body_length(&headers, MAX_BODY_BYTES)?;
-    let Some((body, len)) = parse_body(&bytes[head..], length, MAX_BODY_BYTES)? else {
-        return Ok(None);
-    };
-    Ok(Some((
-        Request {
-            method,
-            path,
-            headers,
-            body,
-            close,
+    Ok(match parse_body(&bytes[head..], length, MAX_BODY_BYTES)? {
+        Framed::Complete { message, length } => Framed::Complete {
+            message: Request {
+                method,
+                path,
+                headers,
+                body: message,
+                close,
+            },
+            length: head + length,
+        },
+        Framed::Incomplete { needed } => Framed::Incomplete {
+            needed: head + needed,
         },
-        head + len,
-    )))
+    })
 }
 
 /// Parses the first final response in `bytes`, like [`request`]. Interim responses before it are skipped. `ended` means that the
@@ -293,7 +321,7 @@
         }
         ended.then(|| (bytes[head..].to_vec(), bytes.len() - head))
     } else {
-        parse_body(&bytes[head..], length, max_body_bytes)?
+        parse_body(&bytes[head..], length, max_body_bytes)?.complete()
     };
     Ok(complete_body.map(|(body, len)| {
         (
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`http`] and [`webpush`] are codecs without I/O; [`config`] and [`fleet`] read the operators' files.
 
 mod client_ingress;
+mod client_memory;
 pub mod client_protocol;
 mod clock;
 pub mod config;
@@ -24,6 +25,7 @@
 mod fleet_endpoint;
 mod fleet_log;
 mod fleet_status;
+pub mod framing;
 mod handover;
 mod handover_endpoint;
 pub mod http;
--- a/crates/daemon/src/reactor.rs
+++ b/crates/daemon/src/reactor.rs
@@ -174,6 +174,8 @@
         self.run_timers();
         self.close_draining_clients();
         self.end_tick();
+        let now = self.clock.now();
+        self.ingress.grant_room(&mut self.connections, now);
         self.send_final_reports();
         Ok(self.continue_handover() || self.continue_shutdown())
     }
--- a/crates/daemon/src/reactor/clients.rs
+++ b/crates/daemon/src/reactor/clients.rs
@@ -86,12 +86,18 @@
 
     pub(super) fn serve_web_push(&mut self, id: usize) {
         loop {
+            let admission = Admission {
+                platform_settings: &self.platform_settings,
+                core: &self.core,
+                journal: &mut self.journal,
+                draining: self.drain.is_active(),
+                now: self.clock.now(),
+            };
             let progress = self.ingress.serve_web_push(
                 &mut self.connections,
                 id,
                 self.web_push.as_mut(),
-                &self.platform_settings,
-                self.clock.now(),
+                &admission,
             );
             if !self.on_progress(id, progress) {
                 return;
@@ -102,7 +108,7 @@
     /// Acts on the result of a request; returns whether another request may be buffered.
     fn on_progress(&mut self, id: usize, progress: Progress) -> bool {
         match progress {
-            Progress::Answered => return true,
+            Progress::Answered | Progress::MoreReceived => return true,
             Progress::Submitted(message) => {
                 // A Web Push client has one request at a time.
                 let may_pipeline = matches!(message.origin, Origin::Client(_));
@@ -114,15 +120,27 @@
             }
             Progress::Cancelled(message) => self.step(Input::Cancelled(message)),
             Progress::Close => self.close_client(id),
-            Progress::TimedOut => self.time_out_client(id),
             Progress::Waiting => {}
         }
         false
     }
 
-    /// Closes a client's connection that timed out. An incomplete request is answered with an error first.
+    /// Closes a client's connection that timed out. An incomplete request is answered with an error first; one that waits for room is
+    /// rejected, unless another one has to make room for it.
     pub(super) fn time_out_client(&mut self, id: usize) {
-        client_ingress::answer_timeout(&mut self.connections, id, self.clock.now());
+        let now = self.clock.now();
+        let room_deadline = self
+            .connections
+            .get(id)
+            .and_then(|c| c.allowance.deadline());
+        if room_deadline.is_some_and(|deadline| deadline <= now) {
+            let rejected = self
+                .ingress
+                .on_room_timeout(&mut self.connections, id, &self.core, now);
+            self.close_client(rejected);
+            return;
+        }
+        client_ingress::answer_timeout(&mut self.connections, id, now);
         self.close_client(id);
     }
 
--- a/crates/daemon/src/reactor/events.rs
+++ b/crates/daemon/src/reactor/events.rs
@@ -6,7 +6,6 @@
 use cranehill_scheduler::api::Status;
 
 use super::Reactor;
-use crate::client_ingress;
 use crate::connection::{Connection, ConnectionKind};
 use crate::connection_table::Transfer;
 use crate::finished_call::FinishedCall;
@@ -78,9 +77,10 @@
                 self.on_platform(id, write_failed);
             }
             ConnectionKind::Operator { .. } => self.serve_operator(id),
-            ConnectionKind::Closing { .. } => {
-                client_ingress::discard_input(&mut self.connections, id);
+            ConnectionKind::Closing { .. } if connection.ended => {
+                self.connections.close(id);
             }
+            ConnectionKind::Closing { .. } => {}
         }
     }
 
--- a/crates/daemon/src/reactor/start.rs
+++ b/crates/daemon/src/reactor/start.rs
@@ -293,6 +293,7 @@
                 if let Some(connection) = self.connections.get_mut(id) {
                     connection.input = input;
                     connection.request_received = request_received;
+                    self.ingress.adopt_input(connection, now);
                 }
                 self.connections.resume(id);
             }
--- a/crates/daemon/src/upstream.rs
+++ b/crates/daemon/src/upstream.rs
@@ -240,7 +240,7 @@
         if connection.written > 0 {
             connections.close(id);
         } else {
-            connection.output.clear();
+            connection.clear_output();
         }
         Some(FinishedCall::without_response(call, Status::NotSent))
     }
@@ -371,7 +371,7 @@
         if response.close || ended || !written || trailing || !parsed.is_of_call {
             connections.close(id);
         } else {
-            connection.input.clear();
+            connection.clear_response();
             connection.clear_output();
             connection.responses += 1;
             connection.idle_since = Some(now);
