--- a/crates/core/src/input.rs
+++ b/crates/core/src/input.rs
@@ -90,6 +90,12 @@
     Recovered(Vec<Record>),
     /// The process is shutting down: no new attempts are started.
     Stopping,
+    /// The process is about to end: each client that waits for the end of its message is answered now. A message that may be submitted again
+    /// is rejected with this retry-after time; one that was possibly executed and must not be repeated fails.
+    Ending {
+        /// The retry-after time.
+        retry_after: Duration,
+    },
     /// The learned state that an earlier process persisted with [`crate::Effect::PersistLearnedState`].
     LearnedStateRestored(Vec<u8>),
     /// Whether a hand-over to a new process is in progress: no new attempts are started while this is true.
--- a/crates/core/src/messages.rs
+++ b/crates/core/src/messages.rs
@@ -50,6 +50,23 @@
     pub(crate) hand_over_by: Time,
 }
 
+/// The answer to a client that waits for the end of its message, when the process ends first.
+pub(crate) struct WaitingAnswer {
+    pub(crate) id: MessageId,
+    to: Origin,
+    answer: Answer,
+}
+
+impl WaitingAnswer {
+    pub(crate) fn into_effect(self) -> Effect {
+        Effect::Answer {
+            to: self.to,
+            id: self.id.0,
+            answer: self.answer,
+        }
+    }
+}
+
 /// The result of releasing messages from the backlog.
 pub(crate) struct BacklogRelease {
     pub(crate) messages: Vec<AcceptedMessage>,
@@ -249,6 +266,35 @@
         })
     }
 
+    /// Ends the messages of clients that wait for their end, since the process ends. Returns the answers to the clients.
+    pub(crate) fn end_waiting(
+        &mut self,
+        now: Time,
+        retry_after: Duration,
+        classes: &[Class],
+    ) -> Vec<WaitingAnswer> {
+        let rejected = Verdict::Rejected {
+            retry_after: Some(retry_after),
+        };
+        let mut answers = Vec::new();
+        for id in self.pending.waiting() {
+            let Some(pending) = self.pending.remove(&id) else {
+                continue;
+            };
+            let verdict = if pending.may_be_repeated(classes) {
+                rejected
+            } else {
+                Verdict::Failed
+            };
+            answers.push(WaitingAnswer {
+                id,
+                to: pending.message.origin,
+                answer: pending.final_answer(verdict, now, self.tick),
+            });
+        }
+        answers
+    }
+
     /// Adds the final report of an accepted message.
     fn report_end(
         &mut self,
--- a/crates/core/src/pending.rs
+++ b/crates/core/src/pending.rs
@@ -104,6 +104,15 @@
         self.messages.keys()
     }
 
+    /// Ids of the messages whose clients wait for their end.
+    pub(crate) fn waiting(&self) -> Vec<MessageId> {
+        let messages = self.messages.iter();
+        messages
+            .filter(|(_, pending)| matches!(pending.message.origin, Origin::Waiting(_)))
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
     /// Number of pending messages.
     pub(crate) fn len(&self) -> usize {
         self.messages.len()
--- a/crates/core/src/pending_message.rs
+++ b/crates/core/src/pending_message.rs
@@ -4,7 +4,8 @@
 
 use cranehill_scheduler::Time;
 use cranehill_scheduler::api::{
-    AcceptedMessage, DestinationId, EndpointId, MessageId, OrderingKey, PriorAttempts, Status,
+    AcceptedMessage, Class, DestinationId, Effect, EndpointId, MessageId, OrderingKey,
+    PriorAttempts, Status,
 };
 
 use crate::effect::{Attempt, Record};
@@ -202,6 +203,13 @@
         finished
     }
 
+    /// Whether a client that is told to submit the message again does no harm: it was certainly not executed, or its class allows any
+    /// repeat.
+    pub(crate) fn may_be_repeated(&self, classes: &[Class]) -> bool {
+        let class = classes.get(self.message.class);
+        self.possibly_executed.is_none() || class.is_some_and(|class| class.effect == Effect::Safe)
+    }
+
     /// The answer to a client that waits for the end of this message, which ends undelivered.
     pub(crate) fn final_answer(&self, verdict: Verdict, now: Time, tick: Duration) -> Answer {
         match verdict {
--- a/crates/core/src/reducer.rs
+++ b/crates/core/src/reducer.rs
@@ -1,5 +1,7 @@
 //! [`Core`]: the whole state of a sender. Inputs change it only through [`Core::step`].
 
+use std::time::Duration;
+
 use cranehill_membership::{self as membership, Members};
 use cranehill_recovery::{self as recovery, Phase};
 use cranehill_scheduler::api::{
@@ -15,7 +17,7 @@
 use crate::input::{AttemptOutcome, Input, Persisted};
 use crate::invariant::Violations;
 use crate::message::{Answer, Listing, Message};
-use crate::messages::{Messages, RestoredMessage};
+use crate::messages::{Messages, RestoredMessage, WaitingAnswer};
 use crate::mutation::{self, Mutation};
 use crate::outbox::Outbox;
 use crate::outgoing_calls::OutgoingCalls;
@@ -175,6 +177,7 @@
                 });
             }
             Input::Stopping => return self.on_stopping(),
+            Input::Ending { retry_after } => return self.on_ending(retry_after),
         }
         Vec::new()
     }
@@ -316,6 +319,17 @@
         Vec::new()
     }
 
+    fn on_ending(&mut self, retry_after: Duration) -> Vec<Effect> {
+        let classes = &self.settings.classes;
+        let answers = self.messages.end_waiting(self.now, retry_after, classes);
+        let ids = answers.iter().map(|answer| answer.id.clone());
+        self.events.extend(ids.map(Event::Cancelled));
+        answers
+            .into_iter()
+            .map(WaitingAnswer::into_effect)
+            .collect()
+    }
+
     /// Hands messages over to the scheduler.
     fn push_messages(&mut self, messages: Vec<AcceptedMessage>) {
         self.events.extend(messages.into_iter().map(Event::Accept));
--- a/crates/cranehill/tests/shutdown.rs
+++ b/crates/cranehill/tests/shutdown.rs
@@ -2,12 +2,16 @@
 
 mod common;
 
+use std::net::SocketAddr;
+use std::path::Path;
 use std::process::Command;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use common::process::Process;
-use common::{Client, TIMEOUT, list, platform, put, reports, silent_destination, wait_until};
+use common::{
+    Client, TIMEOUT, full_listener, list, platform, put, reports, silent_destination, wait_until,
+};
 use cranehill::simulated_server::{Reply, SimulatedServer};
 
 /// Metadata argument of `MSG.PUT`: class, tenant, remaining time in milliseconds, idempotency key and destination.
@@ -114,25 +118,56 @@
     assert_eq!(after, [b"one", b"two"]);
 }
 
-#[test]
-fn push_only_sender_answers_waiting_clients_on_shutdown() {
-    let service = SimulatedServer::new(|_, _| Reply::Silent).expect("service");
-    let folder = tempfile::tempdir().expect("temporary folder created");
-    let file = folder.path().join("webpush.toml");
-    let text = format!(
-        "listen = \"127.0.0.1:0\"\n[[upstream]]\nname = \"s\"\n[[upstream.server]]\naddress = \"{}\"\n[[location]]\npath = \"/push/\"\nupstream = \"s\"\n",
-        service.address
-    );
+/// Starts a sender that serves only Web Push, with a push service at each address: the first at `/push/0/`, and so on.
+fn start_push_only(folder: &Path, services: &[SocketAddr]) -> Process {
+    let file = folder.join("webpush.toml");
+    let mut text = "listen = \"127.0.0.1:0\"\n".to_owned();
+    for (n, address) in services.iter().enumerate() {
+        text.push_str(&format!(
+            "[[upstream]]\nname = \"s{n}\"\n[[upstream.server]]\naddress = \"{address}\"\n[[location]]\npath = \"/push/{n}/\"\nupstream = \"s{n}\"\n"
+        ));
+    }
     std::fs::write(&file, text).expect("file written");
     let mut command = Command::new(env!("CARGO_BIN_EXE_cranehill"));
     command
         .args(["serve", "--webpush"])
         .arg(&file)
         .env_remove("NODE_CONFIG");
-    let mut process = Process::start_command(command, "listening for Web Push at ");
+    Process::start_command(command, "listening for Web Push at ")
+}
+
+/// Guards posts whose attempt is out when the process ends: one that may have been shown was once answered like one that was not
+/// taken, and shown again when it was submitted again as told (review/6). One that was certainly not sent is offered again.
+#[test]
+fn post_in_flight_at_shutdown_is_not_offered_again() {
+    let silent = SimulatedServer::new(|_, _| Reply::Silent).expect("service");
+    let (unreachable, _queued) = full_listener();
+    let unreachable = unreachable.local_addr().expect("an address");
+    let folder = tempfile::tempdir().expect("temporary folder created");
+    let mut process = start_push_only(folder.path(), &[silent.address, unreachable]);
+    let mut shown = Client::new(process.clients);
+    let mut unsent = Client::new(process.clients);
+    let post = |service: usize| {
+        format!("POST /push/{service}/a HTTP/1.1\r\nTTL: 60\r\nContent-Length: 1\r\n\r\nx")
+    };
+    unsent.send(post(1).as_bytes());
+    shown.send(post(0).as_bytes());
+    assert!(silent.wait_for(1, TIMEOUT));
+    process.signal("-TERM");
+    assert_eq!(shown.line(), "HTTP/1.1 504 Gateway Timeout");
+    assert_eq!(unsent.line(), "HTTP/1.1 503 Service Unavailable");
+    assert_eq!(unsent.line(), "Retry-After: 5");
+    assert!(process.child.wait().expect("process ends").success());
+}
+
+#[test]
+fn push_only_sender_answers_waiting_clients_on_shutdown() {
+    let service = SimulatedServer::new(|_, _| Reply::Silent).expect("service");
+    let folder = tempfile::tempdir().expect("temporary folder created");
+    let mut process = start_push_only(folder.path(), &[service.address]);
     let mut client = Client::new(process.clients);
     // The second request is read, but not processed before the first one ends.
-    let request = "POST /push/a HTTP/1.1\r\nTTL: 20\r\nTopic: t\r\nContent-Length: 1\r\n\r\nx";
+    let request = "POST /push/0/a HTTP/1.1\r\nTTL: 20\r\nTopic: t\r\nContent-Length: 1\r\n\r\nx";
     client.send(request.repeat(2).as_bytes());
     assert!(service.wait_for(1, TIMEOUT));
     process.signal("-TERM");
--- a/crates/daemon/src/client_ingress/resp.rs
+++ b/crates/daemon/src/client_ingress/resp.rs
@@ -60,15 +60,8 @@
                     Request::Unknown(why) => client_protocol::write_error(why),
                 }
             }
-            Ok(Framed::Incomplete { needed }) => {
-                let held = connection.input.len();
-                connection.allowance.lift(held, needed);
-                connection.fill();
-                if connection.input.len() == held {
-                    break;
-                }
-                continue;
-            }
+            Ok(Framed::Incomplete { needed }) if connection.read_up_to(needed) => continue,
+            Ok(Framed::Incomplete { .. }) => break,
             Err(client_protocol::ProtocolError(why)) => {
                 connection.close_after_write = true;
                 connection.clear_input();
--- a/crates/daemon/src/client_ingress/web_push.rs
+++ b/crates/daemon/src/client_ingress/web_push.rs
@@ -1,12 +1,14 @@
 //! Web Push requests of application servers over HTTP.
 
 use super::{Admission, ClientIngress, Progress, reject_malformed, reject_request};
-use crate::connection::{Connection, ConnectionKind};
+use crate::connection::{Connection, ConnectionKind, MAX_HTTP_MESSAGE_BYTES};
 use crate::connection_table::ConnectionTable;
 use crate::framing::Framed;
 use crate::http::{self, Request};
 use crate::webpush::{self, WebPushGateway};
 
+/// How much [`take_unanswered_pushes`] reads of a client that never pauses.
+const MAX_UNANSWERED_BYTES: usize = 16 * MAX_HTTP_MESSAGE_BYTES;
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 impl ClientIngress {
@@ -108,19 +110,22 @@
     }
 }
 
-/// Removes the complete requests from a connection's input and ends the one in progress; returns how many answers the client still
-/// waits for.
+/// Reads the requests that have arrived on a connection behind the one in progress, and removes them; returns how many were complete.
 pub(crate) fn take_unanswered_pushes(connections: &mut ConnectionTable, id: usize) -> usize {
     let Some(connection) = connections.get_mut(id) else {
         return 0;
     };
-    let ConnectionKind::WebPushClient { pending, .. } = &mut connection.kind else {
-        return 0;
-    };
-    let mut unanswered = usize::from(pending.take().is_some());
-    while let Ok(Some((_, length))) = http::request(&connection.input) {
-        connection.consume(length);
-        unanswered += 1;
+    let (mut unanswered, mut taken_bytes) = (0, 0);
+    while taken_bytes < MAX_UNANSWERED_BYTES {
+        match http::frame_request(&connection.input) {
+            Ok(Framed::Complete { length, .. }) => {
+                connection.consume(length);
+                unanswered += 1;
+                taken_bytes += length;
+            }
+            Ok(Framed::Incomplete { needed }) if connection.read_up_to(needed) => {}
+            Ok(Framed::Incomplete { .. }) | Err(_) => break,
+        }
     }
     unanswered
 }
--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -217,6 +217,15 @@
         }
     }
 
+    /// Reads more of a client's request that needs `needed` bytes, whether or not there is room for it: the connection is about to be
+    /// closed, and its requests are only rejected. Returns whether anything has arrived.
+    pub(crate) fn read_up_to(&mut self, needed: usize) -> bool {
+        let held = self.input.len();
+        self.allowance.lift(held, needed);
+        self.fill();
+        self.input.len() > held
+    }
+
     /// Reads and discards what has arrived; returns whether more may be there.
     pub(crate) fn discard(&mut self) -> bool {
         let mut chunk = [0u8; READ_CHUNK_BYTES];
--- a/crates/daemon/src/reactor/handover.rs
+++ b/crates/daemon/src/reactor/handover.rs
@@ -3,12 +3,11 @@
 use std::io;
 
 use cranehill_core::Input;
-use cranehill_scheduler::api::Status;
 
 use super::Reactor;
-use crate::connection::{Connection, ConnectionKind};
-use crate::finished_call::FinishedCall;
+use crate::connection::{Connection, InFlightCall};
 use crate::handover_endpoint::HandoverStep;
+use crate::upstream::Interruption;
 
 impl Reactor {
     /// Carries out the next step of a hand-over in progress, during which no attempts are started; true once everything is handed over
@@ -46,7 +45,7 @@
     }
 
     fn hand_over(&mut self) -> io::Result<()> {
-        self.interrupt_all_calls();
+        self.interrupt_calls(|_| true);
         // Requests that have arrived are read, persisted and answered by this process.
         let clients = self.connections.ids(Connection::is_client);
         for &id in &clients {
@@ -67,30 +66,23 @@
         let (pending, reports) = self.core.pending_and_report_counts();
         log::info!(event = "handover-complete", clients = handed_over, pending, reports;
             "hand-over: completed, {handed_over} client connections handed over; {pending} messages and {reports} final reports remain in the journal");
-        self.reject_waiting_clients();
+        self.answer_waiting_clients();
         Ok(())
     }
 
-    /// Closes the connections with calls in flight. The journal records their messages as possibly executed, except those of calls
-    /// whose connection was not yet established: these are not executed.
-    fn interrupt_all_calls(&mut self) {
-        for id in self
-            .connections
-            .ids(|connection| connection.call().is_some())
-        {
-            let Some(connection) = self.connections.close(id) else {
+    /// Ends the matching calls in flight. One that was written completely may have been executed, unless its response has arrived; any
+    /// other was not executed.
+    pub(super) fn interrupt_calls(&mut self, matches: impl Fn(&InFlightCall) -> bool) {
+        let is_matching = |connection: &Connection| connection.call().is_some_and(&matches);
+        for id in self.connections.ids(is_matching) {
+            let is_unwritten = Connection::has_unwritten_call;
+            if self.connections.get(id).is_some_and(is_unwritten) {
+                self.cancel_unwritten_call(id);
                 continue;
-            };
-            let status = if connection.established {
-                Status::TimedOut
-            } else {
-                Status::NoConnection
-            };
-            if let ConnectionKind::Destination {
-                call: Some(call), ..
-            } = connection.kind
-            {
-                self.finish_call(FinishedCall::without_response(call, status));
+            }
+            self.process_connection(id);
+            if self.connections.get(id).is_some_and(is_matching) {
+                self.interrupt_call(id, Interruption::OutOfTime);
             }
         }
     }
--- a/crates/daemon/src/reactor/shutdown.rs
+++ b/crates/daemon/src/reactor/shutdown.rs
@@ -6,7 +6,7 @@
 
 use super::Reactor;
 use crate::client_ingress;
-use crate::connection::{Connection, ConnectionKind};
+use crate::connection::{Connection, ConnectionKind, InFlightCall};
 use crate::shutdown::ShutdownPhase;
 use crate::tokens::{CLIENTS, WEB_PUSH};
 use crate::webpush;
@@ -29,6 +29,8 @@
         }
         let time_is_up = phase >= ShutdownPhase::Ended;
         if time_is_up {
+            // A post ends with its answer; the journal knows which accepted messages have an attempt in flight.
+            self.interrupt_calls(InFlightCall::is_web_push);
             self.answer_submitted();
         }
         if phase >= ShutdownPhase::NotSending || self.is_finished() {
@@ -37,7 +39,7 @@
         if !time_is_up && !self.is_finished() {
             return false;
         }
-        self.reject_waiting_clients();
+        self.answer_waiting_clients();
         true
     }
 
@@ -73,9 +75,12 @@
         nothing_pending && reports == 0 && !connections.any(Connection::delays_shutdown)
     }
 
-    /// Answers Web Push clients that still wait for a message's result, or whose next request was not processed, with an error and a
-    /// `Retry-After`. Their messages have not been accepted.
-    pub(super) fn reject_waiting_clients(&mut self) {
+    /// Answers Web Push clients that still wait: for the result of a message as the core decides, for a request that was not
+    /// processed with an error and a `Retry-After`.
+    pub(super) fn answer_waiting_clients(&mut self) {
+        self.step_without_tick(Input::Ending {
+            retry_after: RETRY_AFTER_SHUTDOWN,
+        });
         let is_web_push = |connection: &Connection| {
             matches!(connection.kind, ConnectionKind::WebPushClient { .. })
         };
