--- a/crates/cranehill/tests/clients.rs
+++ b/crates/cranehill/tests/clients.rs
@@ -5,6 +5,7 @@
 use std::io::Write;
 use std::thread;
 
+use common::process::Process;
 use common::{Client, TIMEOUT, list, platform, prepare, put, start, start_with_sockets};
 use cranehill::simulated_server::{Reply, SimulatedServer};
 
@@ -260,3 +261,29 @@
         .count();
     assert_eq!(answered, REQUESTS);
 }
+
+/// Guards usual clients against one that sends messages with errors, and messages that are rejected: the room set aside for them in the
+/// journal was not given back while nothing was appended, so that every message was refused until a restart (review/2).
+#[test]
+fn flood_of_invalid_messages_leaves_room_for_others() {
+    let destination = SimulatedServer::new(|_, _| Reply::status(200)).expect("destination server");
+    let folder = tempfile::tempdir().expect("temporary folder created");
+    let known = list(1, &[("a", destination.address, 7, "station")]);
+    let sender = Process::start_in(folder.path(), &known, &platform());
+    // Each is answered with an error before its message is submitted. The large ones together are larger than the folder's 3 MB, and
+    // the empty ones fill the rest.
+    let bodies = [vec![b'x'; 60_000], Vec::new()];
+    for (n, body) in bodies.iter().flat_map(|body| [body; 64]).enumerate() {
+        let mut client = Client::new(sender.clients);
+        let names = match n % 2 {
+            0 => "c=nothing,d=8000,k=aa,dest=7",
+            _ => "c=episode-notice,d=8000,k=aa,dest=99",
+        };
+        let line = client.put(&format!("bad{n}"), names, body);
+        assert!(line.starts_with("-ERR "), "{line}");
+    }
+    let mut client = Client::new(sender.clients);
+    let names = "c=episode-notice,d=8000,k=aa,dest=7";
+    assert_eq!(client.put("m1", names, b"x"), "+OK");
+    assert!(destination.wait_for(1, TIMEOUT));
+}
--- a/crates/daemon/src/client_ingress/resp.rs
+++ b/crates/daemon/src/client_ingress/resp.rs
@@ -165,8 +165,7 @@
         else {
             return None;
         };
-        // A message must not be accepted if the journal has no room for it.
-        let room = admission.journal.admit(body.len());
+        let now = admission.now;
         let settings = admission.platform_settings;
         let parsed = client_protocol::message(settings, id, &key, message_id, &names, body);
         // A message to an unknown destination could never be delivered and would only expire.
@@ -176,32 +175,37 @@
                 .then_some(message)
                 .ok_or(MessageError::UnknownDestination)
         });
-        match (known, room) {
-            (Ok(message), Ok(()))
-                if !self.has_room_for_body(admission.core, message.body.len()) =>
-            {
-                let rejection = self.reject_for_memory(admission.core, admission.now);
-                let answer = client_protocol::write_answer(rejection);
-                connections.send(id, &answer, admission.now);
-            }
-            (Ok(message), Ok(())) => {
-                log::trace!(
-                    "message {}: submitted on connection {id}, {:?} remaining",
-                    message.id,
-                    message.time_left
+        let message = match known {
+            Ok(message) => message,
+            Err(e) => {
+                reject_request(
+                    connections,
+                    id,
+                    &client_protocol::write_error(&e.to_string()),
+                    now,
                 );
-                if let Some(connection) = connections.get_mut(id) {
-                    connection.kind = ConnectionKind::Client { busy: true };
-                }
-                return Some(Progress::Submitted(message));
-            }
-            (Ok(_), Err(after)) => self.on_journal_full(connections, id, after, admission),
-            (Err(e), _) => {
-                let answer = client_protocol::write_error(&e.to_string());
-                reject_request(connections, id, &answer, admission.now);
+                return None;
             }
+        };
+        if !self.has_room_for_body(admission.core, message.body.len()) {
+            let rejection = self.reject_for_memory(admission.core, now);
+            connections.send(id, &client_protocol::write_answer(rejection), now);
+            return None;
+        }
+        // A message must not be accepted if the journal has no room for it.
+        if let Err(after) = admission.journal.admit(message.body.len()) {
+            self.on_journal_full(connections, id, after, admission);
+            return None;
+        }
+        log::trace!(
+            "message {}: submitted on connection {id}, {:?} remaining",
+            message.id,
+            message.time_left
+        );
+        if let Some(connection) = connections.get_mut(id) {
+            connection.kind = ConnectionKind::Client { busy: true };
         }
-        None
+        Some(Progress::Submitted(message))
     }
 
     fn on_journal_full(
--- a/crates/daemon/src/journal_writer.rs
+++ b/crates/daemon/src/journal_writer.rs
@@ -6,7 +6,9 @@
 
 use cranehill_core::mutation::{self, Mutation};
 use cranehill_core::{Persisted, Record};
-use cranehill_journal::{Folder, Journal, Key, OpenError, Options, Recovered, TornWrite};
+use cranehill_journal::{
+    AdmittedRoom, Folder, Journal, Key, OpenError, Options, Recovered, TornWrite,
+};
 use cranehill_scheduler::Time;
 
 use crate::clock::unix_millis;
@@ -81,6 +83,7 @@
 /// Appends to the journal and compacts it. Without a journal, every operation succeeds and nothing is persisted.
 pub(crate) struct JournalWriter {
     journal: Option<Journal<Folder>>,
+    submitted_in_tick: Vec<AdmittedRoom>,
     /// Interval between two steps of compaction.
     tick: Duration,
     next_compaction: Time,
@@ -97,6 +100,7 @@
     ) -> JournalWriter {
         JournalWriter {
             journal,
+            submitted_in_tick: Vec::new(),
             tick,
             next_compaction: now,
             blocked: ThrottledLog::new(BLOCKED_LOG_INTERVAL, now),
@@ -126,15 +130,21 @@
         }
     }
 
-    /// Reserves space for a message with a body of this size, until the next append.
+    /// Sets room aside for a message with a body of this size that is about to be submitted, until the end of the tick.
     ///
     /// # Errors
     /// The journal is full; the error is when the client may retry.
     pub(crate) fn admit(&mut self, bytes: usize) -> Result<(), Duration> {
-        match &mut self.journal {
-            Some(journal) => journal.admit(bytes),
-            None => Ok(()),
+        if let Some(journal) = &mut self.journal {
+            let room = journal.admit(bytes)?;
+            self.submitted_in_tick.push(room);
         }
+        Ok(())
+    }
+
+    /// Gives back the room of the messages that were submitted in this tick: each is appended now, or was rejected.
+    pub(crate) fn end_tick(&mut self) {
+        self.submitted_in_tick.clear();
     }
 
     pub(crate) fn free_bytes(&mut self) -> u64 {
--- a/crates/daemon/src/reactor.rs
+++ b/crates/daemon/src/reactor.rs
@@ -189,6 +189,7 @@
             self.dirty = false;
             let effects = self.core.step(now, Input::TickEnded);
             self.carry_out(effects);
+            self.journal.end_tick();
         }
         if self
             .journal
--- a/crates/journal/src/journal.rs
+++ b/crates/journal/src/journal.rs
@@ -12,5 +12,6 @@
 mod state;
 mod stats;
 
+pub use self::admission::AdmittedRoom;
 pub use self::state::Journal;
 pub use self::stats::{CompactionStep, Stats};
--- a/crates/journal/src/journal/append.rs
+++ b/crates/journal/src/journal/append.rs
@@ -18,7 +18,6 @@
     /// If a file operation fails or the disk budget is exhausted. [`AppendError::persisted`] says whether the records
     /// that end a message ([`Record::is_end_record`]) are persisted, or none of the batch.
     pub fn append(&mut self, now: u64, records: &[Record]) -> Result<(), AppendError> {
-        self.admitted_bytes = 0;
         let mut all = std::mem::take(&mut self.recovery_records);
         let recovery_count = all.len();
         let result = if recovery_count == 0 {
--- a/crates/journal/src/journal/state.rs
+++ b/crates/journal/src/journal/state.rs
@@ -1,6 +1,8 @@
 //! The state of an open journal.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 
 use cranehill_core::Record;
 
@@ -49,8 +51,8 @@
     pub(super) recovery_records: Vec<Record>,
     pub(super) relocation: Option<Relocation>,
     pub(super) obsolete: Vec<ObsoleteSegment>,
-    /// Bytes set aside for messages admitted since the last batch.
-    pub(super) admitted_bytes: u64,
+    /// Bytes set aside for messages that are not appended yet: the sum of all `AdmittedRoom`s.
+    pub(super) admitted: Arc<AtomicU64>,
     pub(super) counters: Counters,
     /// Encoding buffer, reused by every batch.
     pub(super) buffer: Vec<u8>,
@@ -85,7 +87,7 @@
             recovery_records: Vec::new(),
             relocation: None,
             obsolete: Vec::new(),
-            admitted_bytes: 0,
+            admitted: Arc::default(),
             counters: Counters::default(),
             buffer: Vec::new(),
         }
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -38,7 +38,7 @@
 pub use format::packed_id::PackedId;
 pub use format::record::{AcceptedMessage, JournalRecord, MessageRef, RawBytes};
 pub use index::MessageCounts;
-pub use journal::{CompactionStep, Journal, Stats};
+pub use journal::{AdmittedRoom, CompactionStep, Journal, Stats};
 pub use memory::{Crash, FileOperation, Memory};
 pub use options::Options;
 pub use recovery::{FolderContents, LostMessage, Recovered, read_folder};
