--- a/crates/cranehill/tests/endings.rs
+++ b/crates/cranehill/tests/endings.rs
@@ -149,6 +149,37 @@
     assert_eq!(seen_bodies(&destination), ["whole", "after"]);
 }
 
+/// Guards requests behind one that its client did not wait for: once the answer to the first shows that the client has closed its
+/// connection, the others are not sent on. All requests and the close are there before the sender runs.
+#[test]
+fn pipelined_requests_of_a_closed_client_are_dropped() {
+    const REQUESTS: usize = 64;
+    let destination = SimulatedServer::new(|_, _| Reply::status(200)).expect("destination server");
+    let platform = platform();
+    let known = list(1, &[("a", destination.address, 7, "station")]);
+    let prepared = prepare(&known, &platform, |_| {});
+    let mut gone = Client::new(prepared.clients);
+    let requests: Vec<u8> = (0..REQUESTS)
+        .flat_map(|n| put(&format!("gone{n}"), METADATA, b"gone"))
+        .collect();
+    gone.send(&requests);
+    drop(gone);
+    let sender = prepared.run();
+    // One request is handled in each tick, on this connection as on the other one.
+    let mut other = Client::new(sender.clients);
+    for n in 0..REQUESTS {
+        assert_eq!(other.put(&format!("m{n}"), METADATA, b"after"), "+OK");
+    }
+    wait_until("the messages of the other client", || {
+        let bodies = seen_bodies(&destination);
+        bodies.iter().filter(|body| *body == "after").count() == REQUESTS
+    });
+    let bodies = seen_bodies(&destination);
+    let sent_on = bodies.iter().filter(|body| *body == "gone").count();
+    // The close is seen with the first answer, or in one of the next ticks.
+    assert!(sent_on < REQUESTS / 4, "{sent_on} of {REQUESTS} requests");
+}
+
 /// Guards a new endpoint at the address of a removed one: connections of the old endpoint are not used for it.
 #[test]
 fn new_endpoint_at_a_known_address_gets_its_own_connection() {
--- a/crates/cranehill/tests/webpush.rs
+++ b/crates/cranehill/tests/webpush.rs
@@ -343,6 +343,31 @@
     assert_eq!(paths, ["/subscription/left", "/subscription/stays"]);
 }
 
+/// Guards a post whose client leaves while further large posts of it are unread: these hid the close, and all were sent on.
+#[test]
+fn client_that_leaves_unread_posts_behind_cancels_them() {
+    let service = SimulatedServer::new(|_, number| match number {
+        0 => Reply::wait(429, "1"),
+        _ => Reply::status(201),
+    })
+    .expect("push service");
+    let front = front(service.address, None);
+    let mut stream = TcpStream::connect(front.address).expect("connect");
+    let ttl = [("TTL", "15".to_owned())];
+    let first = http::write_request("POST", "/push/left", "front", &ttl, b"x");
+    let behind = http::write_request("POST", "/push/behind", "front", &ttl, &[b'x'; 60_000]);
+    stream.write_all(&first).expect("write");
+    stream.write_all(&behind.repeat(2)).expect("write");
+    assert!(service.wait_for(1, TIMEOUT));
+    drop(stream);
+    assert_eq!(post(&front, "stays", &[("TTL", "15")], b"y").status, 201);
+    // A post of the closed connection would go no later than this one.
+    assert_eq!(post(&front, "last", &[("TTL", "15")], b"z").status, 201);
+    let paths: Vec<String> = service.seen().into_iter().map(|s| s.request.path).collect();
+    let expected = ["left", "stays", "last"].map(|name| format!("/subscription/{name}"));
+    assert_eq!(paths, expected);
+}
+
 #[test]
 fn pushes_are_signed_for_their_service() {
     let secret = [7u8; 32];
--- a/crates/daemon/src/client_ingress/web_push.rs
+++ b/crates/daemon/src/client_ingress/web_push.rs
@@ -28,7 +28,7 @@
             return Progress::Waiting;
         };
         if let Some(message) = pending {
-            if !connection.ended {
+            if !connection.ended && !connection.peer_finished {
                 return Progress::Waiting;
             }
             // The client has disconnected and can't receive the message's result.
--- a/crates/daemon/src/connection.rs
+++ b/crates/daemon/src/connection.rs
@@ -147,6 +147,8 @@
     pub(crate) established: bool,
     /// The peer has closed the connection, or an error ended it.
     pub(crate) ended: bool,
+    /// Clients only: the peer has shut its sending side; what it sent before may still be unread.
+    pub(crate) peer_finished: bool,
     /// When bytes were last sent or received.
     pub(crate) last_used: Time,
     /// Destinations only: calls answered on this connection.
@@ -181,6 +183,7 @@
             written: 0,
             established,
             ended: false,
+            peer_finished: false,
             last_used: now,
             responses: 0,
             idle_since: None,
@@ -247,12 +250,22 @@
                 Ok(received) => return Some(received),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return None,
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(_) => self.ended = true,
+                Err(_) => self.on_peer_gone(),
             }
         }
         None
     }
 
+    /// The peer can't receive any more. A client's requests that are not processed yet are discarded: it would not learn that they were
+    /// accepted, and may have submitted them elsewhere.
+    pub(crate) fn on_peer_gone(&mut self) {
+        self.ended = true;
+        if self.is_client() {
+            self.clear_input();
+            self.clear_output();
+        }
+    }
+
     /// Reserves memory for `received` further bytes: for a client's request at once as much as it may use, since growth by steps would
     /// leave the freed smaller buffers of many clients behind in the heap.
     fn reserve_input(&mut self, received: usize, limit: usize) {
--- a/crates/daemon/src/connection_table.rs
+++ b/crates/daemon/src/connection_table.rs
@@ -167,8 +167,8 @@
         (connection.last_used, connection.waiting_since) = (now, now);
         if !connection.flush() {
             // The output can't be delivered. If it were kept, the connection would wait forever for its output to be written.
-            connection.ended = true;
             connection.clear_output();
+            connection.on_peer_gone();
         }
     }
 
@@ -195,6 +195,9 @@
         }
         let had_output = !connection.is_written();
         let flushed = connection.flush();
+        if !flushed && connection.is_client() {
+            connection.on_peer_gone();
+        }
         if had_output && connection.is_written() && connection.is_destination() {
             log::trace!("connection {id}: the call is written completely");
         }
--- a/crates/daemon/src/reactor/events.rs
+++ b/crates/daemon/src/reactor/events.rs
@@ -1,5 +1,6 @@
 //! Dispatches events of the poll by token, and input on connections by kind.
 
+use mio::event::Event;
 use mio::{Events, Token};
 
 use cranehill_core::Input;
@@ -14,7 +15,10 @@
 
 impl Reactor {
     pub(super) fn dispatch(&mut self, events: &Events) {
-        let mut tokens: Vec<Token> = events.iter().map(mio::event::Event::token).collect();
+        for event in events {
+            self.record_closed_by_client(event);
+        }
+        let mut tokens: Vec<Token> = events.iter().map(Event::token).collect();
         // Operators' commands are processed before everything that clients and destinations have sent.
         if self.listeners.operators.is_some() {
             tokens.sort_by_key(|token| !self.is_operator_token(*token));
@@ -35,6 +39,18 @@
         }
     }
 
+    /// Records that a client has closed its connection, or its sending side. Unread input would hide this from a read.
+    fn record_closed_by_client(&mut self, event: &Event) {
+        let Token(id) = event.token();
+        let Some(connection) = self.connections.get_mut(id).filter(|c| c.is_client()) else {
+            return;
+        };
+        connection.peer_finished |= event.is_read_closed();
+        if event.is_write_closed() {
+            connection.on_peer_gone();
+        }
+    }
+
     fn is_operator_token(&self, token: Token) -> bool {
         match token {
             OPERATOR | STATUS => true,
