--- a/crates/core/src/endpoint_list.rs
+++ b/crates/core/src/endpoint_list.rs
@@ -76,7 +76,12 @@
         for (id, Listing { entry, address }) in named {
             match entry.condition {
                 Condition::Removed => self.remove(now, &id),
-                Condition::Ready | Condition::Draining => self.insert(now, id, entry, address),
+                Condition::Ready | Condition::Draining => {
+                    if self.is_elsewhere(&id, &entry, &address) {
+                        update.closed.push(id.clone());
+                    }
+                    self.insert(now, id, entry, address);
+                }
             }
         }
         update.visited += self.forget_expired(now);
@@ -153,6 +158,13 @@
         missing
     }
 
+    /// Whether the endpoint is listed with another address or destination.
+    fn is_elsewhere(&self, id: &EndpointId, entry: &Entry, address: &str) -> bool {
+        self.endpoints.get(id).is_some_and(|listed| {
+            listed.address != address || listed.destination != entry.destination
+        })
+    }
+
     fn insert(&mut self, now: Time, id: EndpointId, entry: Entry, address: String) {
         let Entry {
             destination,
--- a/crates/core/src/endpoints.rs
+++ b/crates/core/src/endpoints.rs
@@ -70,7 +70,8 @@
         log::debug!(visited = update.visited; "endpoint list: {} entries visited", update.visited);
         self.detached
             .forget_unlisted(now, |id| self.list.contains(id));
-        // The address of a closed endpoint may be reassigned: an idle connection must not be reused for the new owner.
+        // The address of a closed endpoint may be reassigned: an idle connection must not be reused for the new owner, and no call be
+        // written there any more.
         let close_idle = update.closed.iter().cloned().map(Effect::CloseIdle);
         let mut effects: Vec<Effect> = close_idle.collect();
         effects.push(Effect::CancelUnwritten {
--- a/crates/core/tests/list.rs
+++ b/crates/core/tests/list.rs
@@ -51,6 +51,7 @@
             closed.extend(self.listed.keys().filter(|e| !named.contains(e)).cloned());
             self.listed.retain(|e, _| named.contains(e));
         }
+        let listed_before = self.listed.clone();
         for listing in list {
             if listing.entry.condition != Condition::Ready {
                 closed.push(listing.entry.endpoint.clone());
@@ -58,6 +59,15 @@
             self.listed
                 .insert(listing.entry.endpoint.clone(), listing.clone());
         }
+        // An endpoint with another address or destination than before is closed as well.
+        let place = |listing: &Listing| (listing.entry.destination, listing.address.clone());
+        let has_moved = |endpoint: &EndpointId, listing: &Listing| {
+            let before = listed_before.get(endpoint);
+            listing.entry.condition != Condition::Removed
+                && before.is_some_and(|before| place(before) != place(listing))
+        };
+        let moved = self.listed.iter().filter(|(e, l)| has_moved(e, l));
+        closed.extend(moved.map(|(endpoint, _)| endpoint.clone()));
         self.listed
             .retain(|_, l| l.entry.condition != Condition::Removed);
         let after = self.destinations();
@@ -131,10 +141,16 @@
         4 => Just(None),
         1 => (0..DESTINATIONS, 0..ZONES).prop_map(Some),
     ];
-    (0..ENDPOINTS, place, condition).prop_map(|(endpoint, place, condition)| {
+    let is_elsewhere = prop::bool::weighted(0.2);
+    let parts = (0..ENDPOINTS, place, condition, is_elsewhere);
+    parts.prop_map(|(endpoint, place, condition, is_elsewhere)| {
         let usual = (endpoint as u64 % DESTINATIONS, endpoint as u32 % ZONES);
         let (destination, zone) = place.unwrap_or(usual);
-        listing(endpoint, destination, zone, condition)
+        let mut listing = listing(endpoint, destination, zone, condition);
+        if is_elsewhere {
+            listing.address = format!("127.0.0.2:{}", endpoint + 1);
+        }
+        listing
     })
 }
 
--- a/crates/cranehill/tests/endings.rs
+++ b/crates/cranehill/tests/endings.rs
@@ -8,8 +8,8 @@
 use std::sync::atomic::Ordering;
 
 use common::{
-    Client, RunningSender, TIMEOUT, list, platform, prepare, put, reports, start, start_with,
-    updating_platform, wait_until,
+    Client, RunningSender, TIMEOUT, full_listener, list, platform, prepare, put, reports, start,
+    start_with, updating_platform, wait_until,
 };
 use cranehill::simulated_server::{Reply, SimulatedServer};
 
@@ -211,6 +211,48 @@
     );
 }
 
+/// Guards an endpoint that moves to another address while a call waits for its connection: that address may belong to another
+/// destination when the connection comes up, which once got the call.
+#[test]
+fn call_is_not_written_to_the_former_address_of_an_endpoint() {
+    let (former, queued) = full_listener();
+    former.set_nonblocking(true).expect("non-blocking");
+    let former_address = former.local_addr().expect("an address");
+    let destination = SimulatedServer::new(|_, _| Reply::status(200)).expect("destination server");
+    let (platform, publish_list) = updating_platform(list(
+        2,
+        &[
+            ("a", destination.address, 7, "station"),
+            ("c", former_address, 8, "station"),
+        ],
+    ));
+    let sender = start(&list(1, &[("a", former_address, 7, "station")]), &platform);
+    let mut client = Client::new(sender.clients);
+    assert_eq!(client.put("m1", METADATA, b"x"), "+OK");
+    publish_list.store(true, Ordering::Relaxed);
+    wait_until("the watch that continues from the new list", || {
+        let seen = platform.seen();
+        seen.iter().any(|s| s.request.path.contains("from=2&"))
+    });
+    // Another destination's process accepts at the former address from now on.
+    drop(queued);
+    let (mut accepted, mut received) = (Vec::new(), Vec::new());
+    wait_until("the call", || {
+        accepted.extend(former.accept().map(|(stream, _)| stream));
+        for stream in &mut accepted {
+            stream.set_nonblocking(true).expect("non-blocking");
+            let _ = stream.read_to_end(&mut received);
+        }
+        !received.is_empty() || !destination.seen().is_empty()
+    });
+    assert!(
+        received.is_empty(),
+        "{}",
+        String::from_utf8_lossy(&received)
+    );
+    assert_eq!(destination.seen().len(), 1);
+}
+
 /// Reads one request without a body.
 fn read_request(stream: &mut TcpStream) -> String {
     stream
