--- a/crates/cranehill/tests/directory.rs
+++ b/crates/cranehill/tests/directory.rs
@@ -92,6 +92,41 @@
     );
 }
 
+/// Guards a discovery that has started anew at its address, with lower versions: it was taken for the old one, so that changes
+/// which only the new one knows were never told, and messages went by the old list.
+#[test]
+fn discovery_that_started_anew_is_asked_for_the_whole_list() {
+    let old_destination =
+        SimulatedServer::new(|_, _| Reply::status(200)).expect("destination server");
+    let new_destination =
+        SimulatedServer::new(|_, _| Reply::status(200)).expect("destination server");
+    let unchanged = list(5, &[]).replace("\"full\":true", "\"full\":false");
+    let new_list = list(5, &[("b", new_destination.address, 7, "station")]);
+    let list_sent = Arc::new(AtomicBool::new(false));
+    let sent = list_sent.clone();
+    let platform = SimulatedServer::new(move |request, _| match request.path.as_str() {
+        "/v1/notices" => Reply::status(204),
+        path if path.contains("from=41&") => ok_response(&unchanged),
+        path if path.contains("from=5&") && !sent.load(Ordering::Relaxed) => {
+            ok_response(&unchanged)
+        }
+        path if path.contains("from=") => Reply::Silent,
+        _ => {
+            sent.store(true, Ordering::Relaxed);
+            ok_response(&new_list)
+        }
+    })
+    .expect("platform");
+    let known = list(41, &[("a", old_destination.address, 7, "station")]);
+    let sender = start(&known, &platform);
+    assert!(receives_watch_from(&platform, 5), "a watch of the new list");
+    assert!(list_sent.load(Ordering::Relaxed), "the whole list first");
+    let mut client = Client::new(sender.clients);
+    assert_eq!(client.put("m1", METADATA, b"one"), "+OK");
+    assert!(new_destination.wait_for(1, TIMEOUT), "the new list is used");
+    assert!(old_destination.seen().is_empty());
+}
+
 /// Guards discovery against a sender that repeats its watch at once after each immediate response without changes.
 #[test]
 fn discovery_that_answers_watches_without_delay_is_not_polled_in_a_tight_loop() {
--- a/crates/daemon/src/discovery_client.rs
+++ b/crates/daemon/src/discovery_client.rs
@@ -119,7 +119,14 @@
             invalid_entries,
             ..
         } = parsed;
-        self.watch.on_list(now, version);
+        let known = self.watch.version();
+        if !full && version < known {
+            log::warn!(event = "discovery-restarted", version, known;
+                "discovery: version {version} after {known}; requesting the full list");
+            self.watch.on_earlier_version(now, version);
+        } else {
+            self.watch.on_list(now, version);
+        }
         if !full && !invalid_entries.is_empty() {
             self.watch.on_unreadable_entry();
         }
--- a/crates/daemon/src/watch.rs
+++ b/crates/daemon/src/watch.rs
@@ -119,6 +119,18 @@
         (self.version, self.whole, self.failures) = (version, false, 0);
     }
 
+    /// Processes changes with a lower version than the last list's: they come from a discovery that has started anew at the same address
+    /// and does not know what this sender was told before. The full list is requested after a pause, as after a failure.
+    pub fn on_earlier_version(&mut self, now: Time, version: u64) {
+        self.due = Some(now + RETRY_INTERVAL);
+        (self.version, self.whole, self.failures) = (version, true, 0);
+    }
+
+    /// The version of the last list.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Requests the full list next, because some of the changes were not valid and discovery does not send them again. In the full
     /// list an invalid entry counts as missing, so that nothing is sent to an endpoint that may be draining.
     pub fn on_unreadable_entry(&mut self) {
