--- a/crates/daemon/src/client_ingress.rs
+++ b/crates/daemon/src/client_ingress.rs
@@ -186,8 +186,8 @@
         self.memory.adopt(&mut connection.allowance, held, now);
     }
 
-    /// Ends the wait of a connection that has waited for room for [`ROOM_TIMEOUT`], by rejecting a request: one that has held room for
-    /// as long and is still incomplete, or else the waiting one. Returns its connection, which the caller closes.
+    /// Ends the wait of a connection that has waited for room for [`ROOM_TIMEOUT`], by rejecting a request: one that holds room
+    /// and has not gone on for as long, or else the waiting one. Returns its connection, which the caller closes.
     pub(crate) fn on_room_timeout(
         &mut self,
         connections: &mut ConnectionTable,
@@ -198,7 +198,10 @@
         let holder = connections
             .iter()
             .filter(|(_, connection)| connection.is_reading_request())
-            .filter_map(|(id, connection)| Some((connection.allowance.reserved_since()?, id)))
+            .filter_map(|(id, connection)| {
+                let granted = connection.allowance.reserved_since()?;
+                Some((connection.last_used.max(granted), id))
+            })
             .min()
             .filter(|(since, _)| now - *since >= ROOM_TIMEOUT);
         if let Some(connection) = connections.get_mut(id).filter(|_| holder.is_some()) {
--- a/crates/daemon/src/client_memory.rs
+++ b/crates/daemon/src/client_memory.rs
@@ -15,7 +15,7 @@
 pub(crate) const SMALL_INPUT_BYTES: usize = 4096;
 /// Reservations may use this fraction of the process's memory, as a divisor.
 const MEMORY_DIVISOR: usize = 8;
-/// How long a connection waits for room before its request is rejected, and how long an incomplete request keeps its room while
+/// How long a connection waits for room before its request is rejected, and how long a request without progress keeps its room while
 /// others wait. Clients wait for an answer for 400 ms.
 pub(crate) const ROOM_TIMEOUT: Duration = Duration::from_millis(200);
 
